--- /dev/null
+++ b/src/adapters/operators/admin_server.h
@@ -0,0 +1,49 @@
+// The operators' HTTP interface of a node: health, status, metrics, intents and plans.
+#pragma once
+
+#include "adapters/event/event_loop.h"
+#include "adapters/http/listener.h"
+#include "adapters/operators/intent_service.h"
+
+#include <functional>
+#include <string>
+
+namespace anvilpost {
+
+/// What the admin server asks of the node. All functions must be set before the first request.
+struct admin_views {
+    std::function<bool()> ready_;
+    std::function<nlohmann::json()> status_;
+    std::function<std::string()> metrics_;
+    std::function<void(std::function<void(const api_answer&)>)> burn_;
+};
+
+/// Routes:
+/// GET /live, GET /ready, GET /metrics, GET /v1/status, GET /v1/burn, GET /v1/configuration,
+/// POST /v1/intents, POST /v1/plans/{id}/confirm.
+class admin_server {
+public:
+    admin_server(event_loop& loop, const std::string& ip, std::uint16_t port, intent_service& intents,
+                 admin_views views);
+
+    [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+
+private:
+    /// An open request; becomes empty when its connection closes first.
+    struct open_request {
+        evhttp_request* request_ = nullptr;
+    };
+
+    void on_request(evhttp_request* request);
+    void route_get(evhttp_request* request, const std::string& path);
+    void route_post(evhttp_request* request, const std::string& path);
+    intent_service::answer_callback answer_later(evhttp_request* request);
+    static void answer(evhttp_request* request, const api_answer& what);
+    static void answer_text(evhttp_request* request, int status, const std::string& text, const char* type);
+
+    intent_service& intents_;
+    admin_views views_;
+    listener listener_;
+};
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/adapters/operators/intent_service.cpp
@@ -0,0 +1,196 @@
+// Confirm reads, derives the plan again, writes by compare-and-swap, and reads back when the answer is
+// lost. A plan lists itself as applied in the document it writes, which is how a lost answer is resolved.
+#include "adapters/operators/intent_service.h"
+
+#include "core/configuration_json.h"
+#include "core/json_reader.h"
+
+#include <memory>
+
+namespace anvilpost {
+namespace {
+
+constexpr int max_write_attempts = 3;
+constexpr int max_read_attempts = 4;
+
+api_answer faults_answer(const invalid_document& invalid)
+{
+    nlohmann::json faults = nlohmann::json::array();
+    for (const auto& fault : invalid.faults()) {
+        faults.push_back({{"path", fault.path_}, {"message", fault.message_}});
+    }
+    return {422, {{"title", "invalid_document"}, {"status", 422}, {"faults", faults}}};
+}
+
+api_answer store_answer(const std::string& detail)
+{
+    return {503, {{"title", "store_unavailable"}, {"status", 503}, {"detail", detail}, {"retry_after_s", 1}}};
+}
+
+nlohmann::json parse_body(const std::string& body)
+{
+    auto document = nlohmann::json::parse(body, nullptr, false);
+    if (document.is_discarded()) {
+        throw invalid_document(std::vector<field_fault>{{"/", "the body is not valid JSON"}});
+    }
+    return document;
+}
+
+/// Returns the stored configuration; an absent one is empty with revision 0.
+configuration parse_stored(const stored_value& value)
+{
+    if (value.status_ == store_status::not_found) {
+        return {};
+    }
+    return parse_configuration(nlohmann::json::parse(value.text_, nullptr, false));
+}
+
+bool readable(const stored_value& value)
+{
+    return value.status_ == store_status::ok || value.status_ == store_status::not_found;
+}
+
+} // namespace
+
+void intent_service::state_intent(const std::string& body, answer_callback done)
+{
+    intent wanted;
+    try {
+        wanted = parse_intent(parse_body(body));
+    }
+    catch (const invalid_document& invalid) {
+        done(faults_answer(invalid));
+        return;
+    }
+    store_.read(configuration_key, [wanted, done = std::move(done)](const stored_value& value) {
+        if (!readable(value)) {
+            done(store_answer("the configuration cannot be read, so no plan was made; nothing was changed"));
+            return;
+        }
+        try {
+            done({200, to_json(derive_plan(wanted, parse_stored(value)))});
+        }
+        catch (const invalid_document& invalid) {
+            done(faults_answer(invalid));
+        }
+    });
+}
+
+void intent_service::confirm(const std::string& plan_id, const std::string& body, answer_callback done)
+{
+    auto pending = std::make_shared<confirmation>();
+    pending->plan_id_ = plan_id;
+    try {
+        const auto document = parse_body(body);
+        std::vector<field_fault> faults;
+        json_reader reader(document, "", faults);
+        reader.revision("base_revision", pending->base_revision_);
+        const auto* stated = reader.child("intent");
+        if (stated == nullptr) {
+            reader.fault("intent", "is required, as the plan gave it");
+        }
+        if (!faults.empty()) {
+            throw invalid_document(std::move(faults));
+        }
+        pending->wanted_ = parse_intent(*stated);
+    }
+    catch (const invalid_document& invalid) {
+        done(faults_answer(invalid));
+        return;
+    }
+    pending->done_ = std::move(done);
+    read_base(pending);
+}
+
+void intent_service::read_base(const std::shared_ptr<confirmation>& pending)
+{
+    ++pending->read_attempts_;
+    store_.read(configuration_key, [this, pending](const stored_value& value) { decide(pending, value); });
+}
+
+void intent_service::decide(const std::shared_ptr<confirmation>& pending, const stored_value& value)
+{
+    if (!readable(value)) {
+        if (pending->write_outcome_unknown_ && pending->read_attempts_ < max_read_attempts) {
+            read_base(pending);
+            return;
+        }
+        pending->done_(
+            store_answer(pending->write_outcome_unknown_
+                             ? "the write's answer was lost and the store cannot be read; the plan may take "
+                               "effect; confirm again"
+                             : "the configuration cannot be read; the plan was not applied by this request"));
+        return;
+    }
+    try {
+        const configuration base = parse_stored(value);
+        if (const auto revision = applied_revision(base, pending->plan_id_)) {
+            pending->done_(
+                {200, {{"state", "applied"}, {"plan", pending->plan_id_}, {"revision", *revision}}});
+            return;
+        }
+        const plan derived = derive_plan(pending->wanted_, base);
+        if (base.revision_ != pending->base_revision_) {
+            pending->done_(
+                {409,
+                 {{"title", "base_moved"},
+                  {"status", 409},
+                  {"detail", "the configuration has changed since the plan was made; review the new plan"},
+                  {"base_revision", base.revision_},
+                  {"new_plan", to_json(derived)}}});
+            return;
+        }
+        if (derived.id_ != pending->plan_id_) {
+            throw invalid_document(
+                std::vector<field_fault>{{"/intent", "does not belong to plan " + pending->plan_id_}});
+        }
+        write(pending, derived, value.version_);
+    }
+    catch (const invalid_document& invalid) {
+        pending->done_(faults_answer(invalid));
+    }
+}
+
+void intent_service::write(const std::shared_ptr<confirmation>& pending, const plan& derived,
+                           std::uint64_t version)
+{
+    if (pending->write_attempts_ == max_write_attempts) {
+        pending->done_(
+            store_answer(pending->write_outcome_unknown_
+                             ? "the write's answer was lost; the plan may take effect; confirm again"
+                             : "the store refused the write; the plan was not applied"));
+        return;
+    }
+    ++pending->write_attempts_;
+    const std::uint64_t revision = derived.result_.revision_;
+    store_.write_if(
+        configuration_key, to_json(derived.result_).dump(), version,
+        [this, pending, revision](store_status status) {
+            if (status == store_status::ok) {
+                pending->done_(
+                    {200, {{"state", "applied"}, {"plan", pending->plan_id_}, {"revision", revision}}});
+                return;
+            }
+            pending->write_outcome_unknown_ |= status == store_status::unknown;
+            pending->read_attempts_ = 0;
+            read_base(pending);
+        });
+}
+
+void intent_service::read_configuration(answer_callback done)
+{
+    store_.read(configuration_key, [done = std::move(done)](const stored_value& value) {
+        if (!readable(value)) {
+            done(store_answer("the configuration cannot be read"));
+            return;
+        }
+        try {
+            done({200, to_json(parse_stored(value))});
+        }
+        catch (const invalid_document& invalid) {
+            done(faults_answer(invalid));
+        }
+    });
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/adapters/platform/base64.cpp
@@ -0,0 +1,19 @@
+// Uses Boost's iterators would need padding care as well; Abseil's codec does all of it.
+#include "adapters/platform/base64.h"
+
+#include <absl/strings/escaping.h>
+
+namespace anvilpost {
+
+std::string encode_base64(std::string_view bytes)
+{
+    return absl::Base64Escape({bytes.data(), bytes.size()});
+}
+
+std::string decode_base64(std::string_view text)
+{
+    std::string bytes;
+    return absl::Base64Unescape({text.data(), text.size()}, &bytes) ? bytes : std::string{};
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/adapters/platform/configuration_follower.cpp
@@ -0,0 +1,106 @@
+// Watch loop with jittered retries, and the rule that only greater revisions come into force.
+#include "adapters/platform/configuration_follower.h"
+
+#include "adapters/logging/json_log.h"
+#include "core/configuration_json.h"
+
+namespace anvilpost {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration longest_watch = 20s;
+constexpr duration shortest_pause = 200ms;
+constexpr duration longest_extra_pause = 800ms;
+
+} // namespace
+
+configuration_follower::configuration_follower(event_loop& loop, key_value_port& store, random_port& random)
+    : loop_(loop), store_(store), random_(random), retry_(loop, [this] { watch(); })
+{
+}
+
+void configuration_follower::start()
+{
+    set_watching(true);
+}
+
+void configuration_follower::set_watching(bool watching)
+{
+    if (watching == watching_) {
+        return;
+    }
+    watching_ = watching;
+    ++watch_generation_;
+    if (watching) {
+        watch();
+    }
+    else {
+        retry_.stop();
+    }
+}
+
+void configuration_follower::watch()
+{
+    store_.watch(configuration_key, watched_version_, longest_watch,
+                 [this, generation = watch_generation_](const stored_value& value) {
+                     if (generation != watch_generation_) {
+                         return;
+                     }
+                     on_value(value);
+                     const auto jitter = duration(static_cast<duration::rep>(
+                         random_unit(random_) * static_cast<double>(longest_extra_pause.count())));
+                     retry_.start(store_reachable_ && value.status_ == store_status::ok
+                                      ? duration{}
+                                      : shortest_pause + jitter);
+                 });
+}
+
+void configuration_follower::read_once()
+{
+    store_.read(configuration_key, [this](const stored_value& value) { on_value(value); });
+}
+
+void configuration_follower::on_value(const stored_value& value)
+{
+    store_reachable_ = value.status_ == store_status::ok || value.status_ == store_status::not_found;
+    if (!store_reachable_) {
+        return;
+    }
+    if (value.status_ == store_status::not_found) {
+        watched_version_ = 0;
+        ready_ = true;
+        return;
+    }
+    watched_version_ = value.version_;
+    const auto document = nlohmann::json::parse(value.text_, nullptr, false);
+    offer(document, configuration_source::store);
+}
+
+bool configuration_follower::offer(const nlohmann::json& document, configuration_source source)
+{
+    try {
+        configuration offered = parse_configuration(document);
+        ready_ = true;
+        if (offered.revision_ <= in_force_.revision_) {
+            return false;
+        }
+        in_force_ = std::move(offered);
+        last_refusal_.clear();
+    }
+    catch (const invalid_document& fault) {
+        last_refusal_ = fault.what();
+        write_log(log_level::error, "refused a configuration that does not parse",
+                  {{"faults", last_refusal_}});
+        return false;
+    }
+    write_log(log_level::info, "configuration in force",
+              {{"revision", in_force_.revision_},
+               {"from", source == configuration_source::store ? "store" : "peer"}});
+    for (const auto& listener : listeners_) {
+        listener(in_force_, source);
+    }
+    return true;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/adapters/platform/consul_store.cpp
@@ -0,0 +1,84 @@
+// Maps store operations to Consul's HTTP API and its answers to store_status.
+#include "adapters/platform/consul_store.h"
+
+#include "adapters/platform/base64.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvilpost {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration read_timeout = 2s;
+constexpr duration write_timeout = 2s;
+constexpr duration watch_grace = 3s;
+constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
+
+stored_value parse_value(const fetch_result& result)
+{
+    if (result.status_ == http_not_found) {
+        return {store_status::not_found, "", 0};
+    }
+    if (result.status_ != http_ok) {
+        return {store_status::unavailable, "", 0};
+    }
+    const auto document = nlohmann::json::parse(result.body_, nullptr, false);
+    const bool usable = document.is_array() && document.size() == 1 && document[0].is_object() &&
+                        document[0].contains("Value") && document[0].contains("ModifyIndex") &&
+                        document[0]["Value"].is_string() && document[0]["ModifyIndex"].is_number_unsigned();
+    if (!usable) {
+        return {store_status::unavailable, "", 0};
+    }
+    return {store_status::ok, decode_base64(document[0]["Value"].get<std::string>()),
+            document[0]["ModifyIndex"].get<std::uint64_t>()};
+}
+
+} // namespace
+
+void consul_store::get(const std::string& target, duration timeout, read_callback done)
+{
+    ++calls_;
+    fetch_request request;
+    request.ip_ = address_.ip_;
+    request.port_ = address_.port_;
+    request.target_ = target;
+    request.timeout_ = timeout;
+    fetch(loop_, request,
+          [done = std::move(done)](const fetch_result& result) { done(parse_value(result)); });
+}
+
+void consul_store::read(const std::string& key, read_callback done)
+{
+    get("/v1/kv/" + key, read_timeout, std::move(done));
+}
+
+void consul_store::watch(const std::string& key, std::uint64_t version, duration longest, read_callback done)
+{
+    const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(longest).count();
+    get("/v1/kv/" + key + "?index=" + std::to_string(version) + "&wait=" + std::to_string(wait_ms) + "ms",
+        longest + watch_grace, std::move(done));
+}
+
+void consul_store::write_if(const std::string& key, const std::string& text, std::uint64_t version,
+                            write_callback done)
+{
+    ++calls_;
+    fetch_request request;
+    request.method_ = "PUT";
+    request.ip_ = address_.ip_;
+    request.port_ = address_.port_;
+    request.target_ = "/v1/kv/" + key + "?cas=" + std::to_string(version);
+    request.body_ = text;
+    request.timeout_ = write_timeout;
+    fetch(loop_, request, [done = std::move(done)](const fetch_result& result) {
+        if (result.status_ == http_ok) {
+            done(result.body_.starts_with("true") ? store_status::ok : store_status::conflict);
+            return;
+        }
+        done(result.sent_ ? store_status::unknown : store_status::unavailable);
+    });
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/adapters/settings_source.cpp
@@ -0,0 +1,105 @@
+// Reflection over Abseil flags.
+#include "adapters/settings_source.h"
+
+#include <absl/flags/commandlineflag.h>
+#include <absl/flags/reflection.h>
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <map>
+
+namespace anvilpost {
+namespace {
+
+std::string variable_name(const std::string& prefix, const std::string& flag)
+{
+    std::string name = prefix;
+    for (const char c : flag) {
+        name += static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    }
+    return name;
+}
+
+std::map<std::string, absl::CommandLineFlag*> flags_of(const std::string& owner)
+{
+    std::map<std::string, absl::CommandLineFlag*> owned;
+    for (const auto& [name, flag] : absl::GetAllFlags()) {
+        if (flag->Filename().find(owner) != std::string::npos) {
+            owned[std::string(name)] = flag;
+        }
+    }
+    return owned;
+}
+
+void set_flag(absl::CommandLineFlag& flag, const std::string& shown, const std::string& value,
+              std::vector<std::string>& problems)
+{
+    std::string error;
+    if (!flag.ParseFrom(value, &error)) {
+        problems.push_back(shown + ": cannot use '" + value + "'" + (error.empty() ? "" : ": " + error));
+    }
+}
+
+bool is_boolean(const absl::CommandLineFlag& flag)
+{
+    return flag.IsOfType<bool>();
+}
+
+} // namespace
+
+flag_reading read_flags(int argc, char** argv, const std::string& owner, const std::string& prefix)
+{
+    flag_reading reading;
+    const auto flags = flags_of(owner);
+    for (const auto& [name, flag] : flags) {
+        const std::string variable = variable_name(prefix, name);
+        if (const char* value = std::getenv(variable.c_str())) {
+            set_flag(*flag, variable, value, reading.problems_);
+        }
+    }
+    for (int i = 1; i < argc; ++i) {
+        const std::string argument = argv[i];
+        if (argument == "--help" || argument == "-h") {
+            reading.help_wanted_ = true;
+            continue;
+        }
+        if (!argument.starts_with("--")) {
+            reading.positional_.push_back(argument);
+            continue;
+        }
+        const auto equals = argument.find('=');
+        std::string name = argument.substr(2, equals == std::string::npos ? equals : equals - 2);
+        std::replace(name.begin(), name.end(), '-', '_');
+        const auto flag = flags.find(name);
+        if (flag == flags.end()) {
+            reading.problems_.push_back("--" + name + ": unknown flag");
+            continue;
+        }
+        std::string value = "true";
+        if (equals != std::string::npos) {
+            value = argument.substr(equals + 1);
+        }
+        else if (!is_boolean(*flag->second)) {
+            if (i + 1 == argc) {
+                reading.problems_.push_back("--" + name + ": needs a value");
+                continue;
+            }
+            value = argv[++i];
+        }
+        set_flag(*flag->second, "--" + name, value, reading.problems_);
+    }
+    return reading;
+}
+
+std::string describe_flags(const std::string& owner, const std::string& prefix)
+{
+    std::string text;
+    for (const auto& [name, flag] : flags_of(owner)) {
+        text += "  --" + name + "  (" + variable_name(prefix, name) + ", default '" + flag->DefaultValue() +
+                "')\n";
+        text += "      " + flag->Help() + "\n";
+    }
+    return text;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/claim_ledger.h
@@ -0,0 +1,125 @@
+// Claims on unrepeatable requests. A claim is an entry in a shard value of the platform's store, made
+// by compare-and-swap; claims that arrive while a write is under way go together into the next one.
+// Fencing rests on the value's version alone: no lease, no clock. docs/design/at-most-once.md gives the
+// reasons and model/claims.pml the checked model.
+#pragma once
+
+#include "core/claim_shard.h"
+#include "ports/claim_port.h"
+#include "ports/clock_port.h"
+#include "ports/key_value_port.h"
+#include "ports/wall_clock_port.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace anvilpost {
+
+struct claim_settings {
+    std::size_t shards_ = 4;                     ///< Must be equal on all nodes.
+    std::chrono::minutes retention_{10};         ///< Must be equal on all nodes.
+    std::size_t max_shard_bytes_ = 900UL * 1024; ///< The store holds values of up to 1 MB.
+    duration shortest_write_interval_ = std::chrono::milliseconds(20); ///< Per shard and node.
+};
+
+struct claim_counters {
+    std::uint64_t granted_ = 0;
+    std::uint64_t duplicates_ = 0;
+    std::uint64_t refused_ = 0;
+    std::uint64_t writes_ = 0;
+    std::uint64_t reads_ = 0;
+    std::uint64_t conflicts_ = 0;
+    std::uint64_t unknown_writes_ = 0;
+};
+
+/// Invariants:
+/// - at most one operation on the store is under way per shard;
+/// - a claim is granted only when a value that holds it was read back or its write was acknowledged;
+/// - a claim whose caller was told "not run" is in `abandoned_` until it is known to be absent from the
+///   store with no write of this node under way that could still add it.
+class claim_ledger : public claim_port {
+public:
+    using decided_function = std::function<void(call_id, claim_decision)>;
+
+    claim_ledger(key_value_port& store, const clock_port& clock, const wall_clock_port& wall_clock,
+                 std::uint64_t claimant, claim_settings settings);
+
+    /// Must be called before the first claim; receives every decision.
+    void on_decided(decided_function decided) { decided_ = std::move(decided); }
+
+    void claim(call_id call, const std::string& service, const std::string& key) override;
+    void release(call_id call) override;
+    void keep(call_id call) override;
+
+    /// Called when work waits for `next_wakeup`.
+    std::function<void()> on_work_waiting_;
+
+    /// Returns the next instant at which `on_wakeup` must be called, if any.
+    [[nodiscard]] std::optional<time_point> next_wakeup() const;
+    void on_wakeup();
+
+    [[nodiscard]] const claim_counters& counters() const { return counters_; }
+
+    /// Claims that were given up but may still stand in the store.
+    [[nodiscard]] std::size_t abandoned() const;
+
+private:
+    struct pending_claim {
+        call_id call_{};
+        claim_key key_;
+        claim_id id_;
+        bool answered_ = false; ///< Its decision was made, or its caller gave up.
+        bool written_ = false;  ///< Was part of a write that may have taken effect.
+    };
+
+    struct shard_state {
+        std::string store_key_;
+        std::vector<pending_claim> waiting_;
+        std::vector<pending_claim> in_write_; ///< Claims of the write under way or of unknown outcome.
+        std::set<claim_id> abandoned_;        ///< To be removed from the store.
+        bool busy_ = false;
+        bool write_unknown_ = false; ///< An earlier write may still take effect.
+        int attempts_ = 0;
+        time_point next_write_{};
+        std::uint64_t unknown_base_ = 0;  ///< Version on which the write of unknown outcome was based.
+        std::uint64_t known_version_ = 0; ///< Reads below this version are stale.
+        std::set<claim_id> removing_;     ///< Abandoned claims that the cycle under way makes sure of.
+    };
+
+    void flush(std::size_t index);
+    void on_read(std::size_t index, const stored_value& stored);
+    void take_back_unresolved(shard_state& shard, const claim_shard& value);
+    bool remove_abandoned(shard_state& shard, claim_shard& value);
+    bool add_waiting(shard_state& shard, claim_shard& value);
+    void write(std::size_t index, claim_shard value, std::uint64_t base_version);
+    void finish_cycle(shard_state& shard);
+    void on_written(std::size_t index, store_status status, std::uint64_t base_version);
+    void retry(std::size_t index);
+    void give_up(shard_state& shard);
+    void refuse_all(shard_state& shard);
+    void settle(shard_state& shard, pending_claim& claim, claim_decision decision);
+    void prune(claim_shard& value) const;
+    std::size_t shard_of(const claim_key& key) const { return key.high_ % shards_.size(); }
+
+    key_value_port& store_;
+    const clock_port& clock_;
+    const wall_clock_port& wall_clock_;
+    std::uint64_t claimant_;
+    claim_settings settings_;
+    decided_function decided_;
+    std::vector<shard_state> shards_;
+    struct held_claim {
+        std::size_t shard_ = 0;
+        claim_id id_;
+    };
+    std::unordered_map<call_id, held_claim> granted_; ///< Granted and neither kept nor released yet.
+    std::uint64_t next_sequence_ = 1;
+    claim_counters counters_;
+};
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/configuration_json.cpp
@@ -0,0 +1,225 @@
+// Parsing and printing of the configuration document.
+#include "core/configuration_json.h"
+
+#include "core/json_reader.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+
+namespace anvilpost {
+namespace {
+
+constexpr int max_timeout_ms = 3'600'000;
+constexpr int max_slots = 10'000;
+constexpr int max_connections = 1'000;
+constexpr int max_queue_length = 100'000;
+constexpr double max_probes_per_second = 10'000;
+
+bool is_numeric_address(const std::string& text)
+{
+    in6_addr buffer{};
+    return inet_pton(AF_INET, text.c_str(), &buffer) == 1 || inet_pton(AF_INET6, text.c_str(), &buffer) == 1;
+}
+
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+void parse_objective(json_reader& service, objective_config& objective, std::vector<field_fault>& faults)
+{
+    const auto* document = service.child("objective");
+    if (document == nullptr) {
+        return;
+    }
+    json_reader reader(*document, service.path_of("objective"), faults);
+    reader.number("availability", objective.availability_, 0.5, 0.999999);
+    reader.milliseconds("latency_ms", objective.latency_, 1, max_timeout_ms);
+    reader.number("latency_share", objective.latency_share_, 0.5, 0.999999);
+    reader.finish();
+}
+
+void parse_policy(json_reader& service, policy_config& policy, std::vector<field_fault>& faults)
+{
+    const auto* document = service.child("policy");
+    if (document == nullptr) {
+        return;
+    }
+    json_reader reader(*document, service.path_of("policy"), faults);
+    reader.named("picker", policy.picker_);
+    reader.milliseconds("timeout_ms", policy.timeout_, 1, max_timeout_ms);
+    reader.milliseconds("queue_wait_ms", policy.queue_wait_, 0, max_timeout_ms);
+    reader.integer("queue_length", policy.queue_length_, 0, max_queue_length);
+    reader.integer("slots", policy.slots_, 1, max_slots);
+    reader.integer("connections", policy.connections_, 1, max_connections);
+    reader.number("retry_share", policy.retry_share_, 0, 1);
+    reader.number("hedge_share", policy.hedge_share_, 0, 1);
+    reader.number("probes_per_second", policy.probes_per_second_, 0, max_probes_per_second);
+    reader.text("health_path", policy.health_path_);
+    reader.texts("repeatable_methods", policy.repeatable_methods_);
+    if (!policy.health_path_.starts_with("/")) {
+        reader.fault("health_path", "must start with '/'");
+    }
+    reader.finish();
+}
+
+void parse_upstreams(json_reader& service, service_config& config, std::vector<field_fault>& faults)
+{
+    const auto* document = service.child("upstreams");
+    if (document == nullptr) {
+        return;
+    }
+    if (!document->is_object()) {
+        service.fault("upstreams", "must be an object of upstreams by name");
+        return;
+    }
+    for (const auto& [name, value] : document->items()) {
+        const std::string path = service.path_of("upstreams") + "/" + escape_pointer_token(name);
+        config.upstreams_[name] = parse_upstream(value, path, faults);
+    }
+}
+
+} // namespace
+
+upstream_config parse_upstream(const nlohmann::json& document, const std::string& path,
+                               std::vector<field_fault>& faults)
+{
+    upstream_config upstream;
+    json_reader reader(document, path, faults);
+    int port = 0;
+    reader.required_text("ip", upstream.ip_);
+    if (!upstream.ip_.empty() && !is_numeric_address(upstream.ip_)) {
+        reader.fault("ip", "must be a numeric IPv4 or IPv6 address");
+    }
+    if (reader.child("port") == nullptr) {
+        reader.fault("port", "is required");
+    }
+    reader.integer("port", port, 1, 65'535);
+    upstream.port_ = static_cast<std::uint16_t>(port);
+    reader.text("data_centre", upstream.data_centre_);
+    reader.text("incarnation", upstream.incarnation_);
+    reader.named("state", upstream.state_);
+    reader.finish();
+    return upstream;
+}
+
+service_config parse_service(const nlohmann::json& document, const std::string& path,
+                             std::vector<field_fault>& faults)
+{
+    service_config service;
+    json_reader reader(document, path, faults);
+    reader.texts("hosts", service.hosts_);
+    if (service.hosts_.empty()) {
+        reader.fault("hosts", "must list at least one host name");
+    }
+    for (auto& host : service.hosts_) {
+        host = lower_case(host);
+    }
+    parse_upstreams(reader, service, faults);
+    parse_objective(reader, service.objective_, faults);
+    parse_policy(reader, service.policy_, faults);
+    reader.finish();
+    return service;
+}
+
+void check_across_services(const configuration& config, std::vector<field_fault>& faults)
+{
+    std::map<std::string, std::string> service_of_host;
+    for (const auto& [name, service] : config.services_) {
+        for (const auto& host : service.hosts_) {
+            const auto [entry, added] = service_of_host.emplace(host, name);
+            if (!added) {
+                faults.push_back({"/services/" + escape_pointer_token(name) + "/hosts",
+                                  "host '" + host + "' already belongs to service '" + entry->second + "'"});
+            }
+        }
+    }
+}
+
+configuration parse_configuration(const nlohmann::json& document)
+{
+    configuration config;
+    std::vector<field_fault> faults;
+    json_reader reader(document, "", faults);
+    reader.revision("revision", config.revision_);
+    if (const auto* services = reader.child("services"); services != nullptr && services->is_object()) {
+        for (const auto& [name, value] : services->items()) {
+            config.services_[name] = parse_service(value, "/services/" + escape_pointer_token(name), faults);
+        }
+    }
+    else {
+        reader.fault("services", "must be an object of services by name");
+    }
+    if (const auto* applied = reader.child("applied"); applied != nullptr && applied->is_array()) {
+        for (std::size_t i = 0; i < applied->size(); ++i) {
+            applied_plan plan;
+            json_reader entry((*applied)[i], "/applied/" + std::to_string(i), faults);
+            entry.required_text("id", plan.id_);
+            entry.revision("revision", plan.revision_);
+            config.applied_.push_back(std::move(plan));
+        }
+    }
+    reader.finish();
+    check_across_services(config, faults);
+    if (!faults.empty()) {
+        throw invalid_document(std::move(faults));
+    }
+    return config;
+}
+
+nlohmann::json to_json(const upstream_config& upstream)
+{
+    nlohmann::json document{
+        {"ip", upstream.ip_}, {"port", upstream.port_}, {"state", name_of(upstream.state_)}};
+    if (!upstream.data_centre_.empty()) {
+        document["data_centre"] = upstream.data_centre_;
+    }
+    if (!upstream.incarnation_.empty()) {
+        document["incarnation"] = upstream.incarnation_;
+    }
+    return document;
+}
+
+nlohmann::json to_json(const service_config& service)
+{
+    nlohmann::json document;
+    document["hosts"] = service.hosts_;
+    document["upstreams"] = nlohmann::json::object();
+    for (const auto& [name, upstream] : service.upstreams_) {
+        document["upstreams"][name] = to_json(upstream);
+    }
+    document["objective"] = {{"availability", service.objective_.availability_},
+                             {"latency_ms", service.objective_.latency_.count()},
+                             {"latency_share", service.objective_.latency_share_}};
+    const auto& policy = service.policy_;
+    document["policy"] = {{"picker", name_of(policy.picker_)},
+                          {"timeout_ms", policy.timeout_.count()},
+                          {"queue_wait_ms", policy.queue_wait_.count()},
+                          {"queue_length", policy.queue_length_},
+                          {"slots", policy.slots_},
+                          {"connections", policy.connections_},
+                          {"retry_share", policy.retry_share_},
+                          {"hedge_share", policy.hedge_share_},
+                          {"probes_per_second", policy.probes_per_second_},
+                          {"health_path", policy.health_path_},
+                          {"repeatable_methods", policy.repeatable_methods_}};
+    return document;
+}
+
+nlohmann::json to_json(const configuration& config)
+{
+    nlohmann::json document{{"revision", config.revision_},
+                            {"services", nlohmann::json::object()},
+                            {"applied", nlohmann::json::array()}};
+    for (const auto& [name, service] : config.services_) {
+        document["services"][name] = to_json(service);
+    }
+    for (const auto& plan : config.applied_) {
+        document["applied"].push_back({{"id", plan.id_}, {"revision", plan.revision_}});
+    }
+    return document;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/enum_names.h
@@ -0,0 +1,40 @@
+// Tables of names for `enum class` types. A type takes part by specialising `enum_names` with an array
+// of (value, name) pairs; printing and parsing both use that one table.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace anvilpost {
+
+/// Specialise with a static constexpr array `table` of std::pair<E, std::string_view>.
+template <class E>
+struct enum_names;
+
+/// Returns the name of `value`, or "unknown" for a value outside the table.
+template <class E>
+constexpr std::string_view name_of(E value)
+{
+    for (const auto& [entry, name] : enum_names<E>::table) {
+        if (entry == value) {
+            return name;
+        }
+    }
+    return "unknown";
+}
+
+/// Returns the value called `name`, or nothing when the table has no such name.
+template <class E>
+constexpr std::optional<E> value_named(std::string_view name)
+{
+    for (const auto& [entry, entry_name] : enum_names<E>::table) {
+        if (entry_name == name) {
+            return entry;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/intent.cpp
@@ -0,0 +1,304 @@
+// Parsing of intents and derivation of plans.
+#include "core/intent.h"
+
+#include "core/configuration_json.h"
+#include "core/json_reader.h"
+#include "core/stable_hash.h"
+
+#include <optional>
+
+namespace anvilpost {
+namespace {
+
+std::string change_path(std::size_t index)
+{
+    return "/changes/" + std::to_string(index);
+}
+
+change parse_change(const nlohmann::json& document, const std::string& path, std::vector<field_fault>& faults)
+{
+    change wanted;
+    json_reader reader(document, path, faults);
+    if (reader.child("change") == nullptr) {
+        reader.fault("change", "is required");
+    }
+    reader.named("change", wanted.kind_);
+    reader.required_text("service", wanted.service_);
+    const bool names_upstream =
+        wanted.kind_ != change_kind::put_service && wanted.kind_ != change_kind::remove_service;
+    if (names_upstream) {
+        reader.required_text("upstream", wanted.upstream_);
+    }
+    if (wanted.kind_ == change_kind::set_upstream_state) {
+        if (reader.child("state") == nullptr) {
+            reader.fault("state", "is required");
+        }
+        reader.named("state", wanted.state_);
+    }
+    const bool has_value =
+        wanted.kind_ == change_kind::put_service || wanted.kind_ == change_kind::put_upstream;
+    if (has_value) {
+        const auto* value = reader.child("value");
+        if (value == nullptr) {
+            reader.fault("value", "is required");
+        }
+        else if (wanted.kind_ == change_kind::put_service) {
+            wanted.service_value_ = parse_service(*value, path + "/value", faults);
+        }
+        else {
+            wanted.upstream_value_ = parse_upstream(*value, path + "/value", faults);
+        }
+    }
+    reader.finish();
+    return wanted;
+}
+
+/// Applies changes to a configuration and collects faults.
+class change_applier {
+public:
+    change_applier(configuration& config, std::vector<field_fault>& faults) : config_(config), faults_(faults)
+    {
+    }
+
+    void apply(const change& wanted, const std::string& path)
+    {
+        switch (wanted.kind_) {
+        case change_kind::put_service: config_.services_[wanted.service_] = wanted.service_value_; return;
+        case change_kind::remove_service:
+            if (config_.services_.erase(wanted.service_) == 0) {
+                faults_.push_back({path + "/service", "no service '" + wanted.service_ + "'"});
+            }
+            return;
+        case change_kind::put_upstream:
+            if (auto* service = find_service(wanted, path)) {
+                service->upstreams_[wanted.upstream_] = wanted.upstream_value_;
+            }
+            return;
+        case change_kind::set_upstream_state:
+            if (auto* upstream = find_upstream(wanted, path)) {
+                upstream->state_ = wanted.state_;
+            }
+            return;
+        case change_kind::remove_upstream:
+            if (find_upstream(wanted, path) != nullptr) {
+                config_.services_[wanted.service_].upstreams_.erase(wanted.upstream_);
+            }
+            return;
+        }
+    }
+
+private:
+    service_config* find_service(const change& wanted, const std::string& path)
+    {
+        const auto found = config_.services_.find(wanted.service_);
+        if (found == config_.services_.end()) {
+            faults_.push_back({path + "/service", "no service '" + wanted.service_ + "'"});
+            return nullptr;
+        }
+        return &found->second;
+    }
+
+    upstream_config* find_upstream(const change& wanted, const std::string& path)
+    {
+        auto* service = find_service(wanted, path);
+        if (service == nullptr) {
+            return nullptr;
+        }
+        const auto found = service->upstreams_.find(wanted.upstream_);
+        if (found == service->upstreams_.end()) {
+            faults_.push_back({path + "/upstream", "no upstream '" + wanted.upstream_ + "' in service '" +
+                                                       wanted.service_ + "'"});
+            return nullptr;
+        }
+        return &found->second;
+    }
+
+    configuration& config_;
+    std::vector<field_fault>& faults_;
+};
+
+bool receives_calls(upstream_state state)
+{
+    return state == upstream_state::active || state == upstream_state::arriving;
+}
+
+std::size_t receiving_upstreams(const service_config& service)
+{
+    std::size_t count = 0;
+    for (const auto& [unused, upstream] : service.upstreams_) {
+        count += receives_calls(upstream.state_) ? 1 : 0;
+    }
+    return count;
+}
+
+/// Lists field by field where `after` differs from `before`, using their JSON forms.
+void describe_changed_fields(const std::string& subject, const nlohmann::json& before,
+                             const nlohmann::json& after, std::vector<std::string>& lines)
+{
+    for (const auto& [field, value] : after.items()) {
+        const auto old = before.find(field);
+        if (old == before.end()) {
+            lines.push_back("~ " + subject + " " + field + ": (none) -> " + value.dump());
+        }
+        else if (*old != value) {
+            lines.push_back("~ " + subject + " " + field + ": " + old->dump() + " -> " + value.dump());
+        }
+    }
+    for (const auto& [field, value] : before.items()) {
+        if (!after.contains(field)) {
+            lines.push_back("~ " + subject + " " + field + ": " + value.dump() + " -> (none)");
+        }
+    }
+}
+
+void describe_upstreams(const std::string& service_name, const service_config& before,
+                        const service_config& after, std::vector<std::string>& lines)
+{
+    for (const auto& [name, upstream] : after.upstreams_) {
+        const std::string subject = "upstream " + service_name + "/" + name;
+        const auto old = before.upstreams_.find(name);
+        if (old == before.upstreams_.end()) {
+            lines.push_back("+ " + subject + " at " + upstream.ip_ + ":" + std::to_string(upstream.port_) +
+                            " (" + std::string(name_of(upstream.state_)) + ")");
+            continue;
+        }
+        describe_changed_fields(subject, to_json(old->second), to_json(upstream), lines);
+    }
+    for (const auto& [name, unused] : before.upstreams_) {
+        if (!after.upstreams_.contains(name)) {
+            lines.push_back("- upstream " + service_name + "/" + name);
+        }
+    }
+}
+
+std::vector<std::string> describe_differences(const configuration& before, const configuration& after)
+{
+    std::vector<std::string> lines;
+    for (const auto& [name, service] : after.services_) {
+        const auto old = before.services_.find(name);
+        const service_config empty;
+        if (old == before.services_.end()) {
+            lines.push_back("+ service " + name + " for " + nlohmann::json(service.hosts_).dump());
+            describe_upstreams(name, empty, service, lines);
+            continue;
+        }
+        const auto old_json = to_json(old->second);
+        const auto new_json = to_json(service);
+        for (const auto* part : {"objective", "policy"}) {
+            describe_changed_fields("service " + name + " " + part, old_json[part], new_json[part], lines);
+        }
+        if (old->second.hosts_ != service.hosts_) {
+            lines.push_back("~ service " + name + " hosts: " + old_json["hosts"].dump() + " -> " +
+                            new_json["hosts"].dump());
+        }
+        describe_upstreams(name, old->second, service, lines);
+    }
+    for (const auto& [name, unused] : before.services_) {
+        if (!after.services_.contains(name)) {
+            lines.push_back("- service " + name);
+        }
+    }
+    return lines;
+}
+
+std::vector<std::string> describe_warnings(const configuration& before, const configuration& after)
+{
+    std::vector<std::string> warnings;
+    for (const auto& [name, service] : after.services_) {
+        const auto count = receiving_upstreams(service);
+        const auto old = before.services_.find(name);
+        const auto old_count = old == before.services_.end() ? 0 : receiving_upstreams(old->second);
+        if (count < 2 && count != old_count) {
+            warnings.push_back("leaves service " + name + " with " + std::to_string(count) +
+                               " upstreams that receive calls");
+        }
+        if (old == before.services_.end()) {
+            continue;
+        }
+        for (const auto& [upstream_name, upstream] : old->second.upstreams_) {
+            if (!service.upstreams_.contains(upstream_name) && receives_calls(upstream.state_)) {
+                warnings.push_back("removes upstream " + name + "/" + upstream_name +
+                                   " without a leaving state first; calls in flight finish, but it cannot be "
+                                   "watched while it empties");
+            }
+        }
+    }
+    for (const auto& [name, service] : before.services_) {
+        if (!after.services_.contains(name) && receiving_upstreams(service) > 0) {
+            warnings.push_back("removes service " + name + ", which still receives calls");
+        }
+    }
+    return warnings;
+}
+
+} // namespace
+
+intent parse_intent(const nlohmann::json& document)
+{
+    intent wanted;
+    std::vector<field_fault> faults;
+    json_reader reader(document, "", faults);
+    const auto* changes = reader.child("changes");
+    if (changes == nullptr || !changes->is_array() || changes->empty()) {
+        reader.fault("changes", "must be a list with at least one change");
+    }
+    else {
+        for (std::size_t i = 0; i < changes->size(); ++i) {
+            wanted.changes_.push_back(parse_change((*changes)[i], change_path(i), faults));
+        }
+    }
+    reader.finish();
+    if (!faults.empty()) {
+        throw invalid_document(std::move(faults));
+    }
+    wanted.document_ = document;
+    return wanted;
+}
+
+plan derive_plan(const intent& wanted, const configuration& base)
+{
+    plan derived;
+    std::vector<field_fault> faults;
+    derived.result_ = base;
+    change_applier applier(derived.result_, faults);
+    for (std::size_t i = 0; i < wanted.changes_.size(); ++i) {
+        applier.apply(wanted.changes_[i], change_path(i));
+    }
+    check_across_services(derived.result_, faults);
+    if (!faults.empty()) {
+        throw invalid_document(std::move(faults));
+    }
+    derived.base_revision_ = base.revision_;
+    derived.intent_document_ = wanted.document_;
+    derived.id_ = stable_hash_hex(std::to_string(base.revision_) + "\n" + wanted.document_.dump());
+    derived.differences_ = describe_differences(base, derived.result_);
+    derived.warnings_ = describe_warnings(base, derived.result_);
+    derived.result_.revision_ = base.revision_ + 1;
+    auto& applied = derived.result_.applied_;
+    applied.push_back({derived.id_, derived.result_.revision_});
+    if (applied.size() > configuration::applied_plans_kept) {
+        applied.erase(applied.begin());
+    }
+    return derived;
+}
+
+std::optional<std::uint64_t> applied_revision(const configuration& config, const std::string& plan_id)
+{
+    for (const auto& entry : config.applied_) {
+        if (entry.id_ == plan_id) {
+            return entry.revision_;
+        }
+    }
+    return std::nullopt;
+}
+
+nlohmann::json to_json(const plan& reviewed)
+{
+    return {{"plan", reviewed.id_},
+            {"base_revision", reviewed.base_revision_},
+            {"differences", reviewed.differences_},
+            {"warnings", reviewed.warnings_},
+            {"intent", reviewed.intent_document_}};
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/picker.h
@@ -0,0 +1,103 @@
+// Rules for choosing an upstream. Each rule is a small type that satisfies the `picker` concept; a
+// service's configuration names the one in use. docs/design/choosing-an-upstream.md compares them.
+#pragma once
+
+#include "core/configuration.h"
+#include "core/core_clock.h"
+#include "core/upstream_tracker.h"
+#include "ports/random_port.h"
+
+#include <concepts>
+#include <limits>
+#include <span>
+#include <variant>
+
+namespace anvilpost {
+
+/// What a rule may look at besides the candidates.
+struct pick_context {
+    time_point now_{};
+    duration typical_latency_{}; ///< Smoothed over the whole service.
+    int slots_ = 1;              ///< Calls one upstream works on at the same time.
+};
+
+using candidate_list = std::span<const upstream_tracker* const>;
+
+/// A rule returns the index of the chosen candidate. The list is never empty.
+template <class P>
+concept picker = requires(const P rule, candidate_list candidates, const pick_context& context,
+                          random_port& random)
+{
+    {
+        rule.pick(candidates, context, random)
+        } -> std::same_as<std::size_t>;
+};
+
+/// Compares two candidates drawn at random and takes the one with the lower score.
+template <class Score>
+std::size_t better_of_two(candidate_list candidates, random_port& random, Score score)
+{
+    const std::size_t first = random_below(random, candidates.size());
+    if (candidates.size() == 1) {
+        return first;
+    }
+    std::size_t second = random_below(random, candidates.size() - 1);
+    second += second >= first ? 1 : 0;
+    return score(*candidates[second]) < score(*candidates[first]) ? second : first;
+}
+
+/// Baseline: two random choices on this node's own calls in flight.
+struct least_in_flight_of_two_picker {
+    std::size_t pick(candidate_list candidates, const pick_context& context, random_port& random) const
+    {
+        return better_of_two(candidates, random, [&](const upstream_tracker& upstream) {
+            return (upstream.in_flight() + 1.0) / upstream.ramp(context.now_);
+        });
+    }
+};
+
+/// Two random choices on the load that answers report, discounted by age.
+struct reported_load_of_two_picker {
+    std::size_t pick(candidate_list candidates, const pick_context& context, random_port& random) const
+    {
+        return better_of_two(candidates, random, [&](const upstream_tracker& upstream) {
+            return (upstream.estimated_load(context.now_) + 1.0) / upstream.ramp(context.now_);
+        });
+    }
+};
+
+/// Two random choices on the expected time to an answer: the wait for a slot plus the service time.
+/// Failures count as slow answers, so an upstream that fails fast attracts nothing.
+struct expected_wait_picker {
+    std::size_t pick(candidate_list candidates, const pick_context& context, random_port& random) const
+    {
+        return better_of_two(candidates, random, [&](const upstream_tracker& upstream) {
+            const auto latency = upstream.smoothed_latency(context.now_, context.typical_latency_);
+            const double load = upstream.estimated_load(context.now_) + 1.0;
+            const double turns = std::max(1.0, load / context.slots_);
+            const double idle_preference = load / (10.0 * context.slots_);
+            return static_cast<double>(latency.count() + 1) * (turns + idle_preference) /
+                   upstream.ramp(context.now_);
+        });
+    }
+};
+
+static_assert(picker<least_in_flight_of_two_picker>);
+static_assert(picker<reported_load_of_two_picker>);
+static_assert(picker<expected_wait_picker>);
+
+using any_picker =
+    std::variant<least_in_flight_of_two_picker, reported_load_of_two_picker, expected_wait_picker>;
+
+/// Returns the rule that a kind names.
+inline any_picker make_picker(picker_kind kind)
+{
+    switch (kind) {
+    case picker_kind::least_in_flight_of_two: return least_in_flight_of_two_picker{};
+    case picker_kind::reported_load_of_two: return reported_load_of_two_picker{};
+    case picker_kind::expected_wait: return expected_wait_picker{};
+    }
+    return least_in_flight_of_two_picker{};
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/problem.cpp
@@ -0,0 +1,41 @@
+// Status codes and JSON form of problems.
+#include "core/problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvilpost {
+
+int status_of(problem_kind kind)
+{
+    switch (kind) {
+    case problem_kind::malformed_request: return 400;
+    case problem_kind::body_too_large: return 413;
+    case problem_kind::header_too_large: return 431;
+    case problem_kind::unknown_service: return 404;
+    case problem_kind::deadline_exceeded: return 504;
+    case problem_kind::upstream_broken: return 502;
+    case problem_kind::duplicate_request:
+    case problem_kind::key_expired: return 409;
+    case problem_kind::quarantined: return 422;
+    case problem_kind::memory_exhausted:
+    case problem_kind::node_draining:
+    case problem_kind::no_upstream:
+    case problem_kind::overloaded:
+    case problem_kind::upstream_unreachable:
+    case problem_kind::claims_unavailable: return 503;
+    }
+    return 500;
+}
+
+std::string problem_document(const problem& what, const std::string& request_id)
+{
+    nlohmann::json document{
+        {"type", "about:blank"},  {"title", name_of(what.kind_)},      {"status", status_of(what.kind_)},
+        {"detail", what.detail_}, {"verdict", name_of(what.verdict_)}, {"request_id", request_id}};
+    if (what.retry_after_) {
+        document["retry_after_s"] = what.retry_after_->count();
+    }
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/upstream_tracker.h
@@ -0,0 +1,95 @@
+// What one node knows of one upstream: its own calls in flight, how fast answers come, failures, the
+// last load report, and whether the upstream is leaving.
+#pragma once
+
+#include "core/call.h"
+#include "core/configuration.h"
+
+#include <string>
+
+namespace anvilpost {
+
+/// Where a node heard that an upstream is leaving.
+enum class leaving_source { configuration, vm_list, upstream_itself, peer };
+
+template <>
+struct enum_names<leaving_source> {
+    static constexpr std::array<std::pair<leaving_source, std::string_view>, 4> table{{
+        {leaving_source::configuration, "configuration"},
+        {leaving_source::vm_list, "vm_list"},
+        {leaving_source::upstream_itself, "upstream_itself"},
+        {leaving_source::peer, "peer"},
+    }};
+};
+
+/// Invariants: `in_flight() >= 0`; once marked as leaving by a source other than the configuration, the
+/// tracker stays leaving until `reset` for a new incarnation.
+class upstream_tracker {
+public:
+    upstream_tracker(std::string name, const upstream_config& config, time_point now);
+
+    /// Takes over changed settings. A changed address or incarnation is a new upstream.
+    void configure(const upstream_config& config, time_point now);
+
+    /// The upstream is no longer part of the configuration; it only finishes calls in flight.
+    void mark_unlisted() { listed_ = false; }
+    void mark_leaving(leaving_source source);
+
+    void on_started() { ++in_flight_; }
+    void on_ended() { --in_flight_; }
+
+    /// Records the time to an answer's head.
+    void on_answer(duration latency, const answer_head& head, time_point now);
+
+    /// Records a failure; it counts as an answer that took `penalty`.
+    void on_failure(duration penalty, time_point now);
+
+    /// Records that a probe or an answer showed the upstream working.
+    void on_success(time_point now);
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] const upstream_config& config() const { return config_; }
+    [[nodiscard]] bool listed() const { return listed_; }
+    [[nodiscard]] int in_flight() const { return in_flight_; }
+    [[nodiscard]] bool leaving() const;
+    [[nodiscard]] std::optional<leaving_source> reason_for_leaving() const;
+
+    /// True when new calls may be sent to it.
+    [[nodiscard]] bool receives_calls() const { return listed_ && !leaving(); }
+
+    /// True while consecutive failures keep it out; a single call at a time is let through when the
+    /// pause has passed.
+    [[nodiscard]] bool ejected(time_point now) const;
+
+    /// Smoothed time to an answer's head; decays towards `typical` while no answers arrive.
+    [[nodiscard]] duration smoothed_latency(time_point now, duration typical) const;
+
+    /// Estimated requests at the upstream: own ones plus those of other nodes as last reported, the
+    /// latter discounted by the report's age.
+    [[nodiscard]] double estimated_load(time_point now) const;
+
+    /// Share of normal traffic during the start-up ramp, in (0, 1].
+    [[nodiscard]] double ramp(time_point now) const;
+
+    [[nodiscard]] time_point last_answer() const { return last_answer_; }
+    [[nodiscard]] int consecutive_failures() const { return consecutive_failures_; }
+
+private:
+    void reset(const upstream_config& config, time_point now);
+    void smooth(duration sample, time_point now);
+
+    std::string name_;
+    upstream_config config_;
+    bool listed_ = true;
+    std::optional<leaving_source> sticky_leaving_;
+    int in_flight_ = 0;
+    int consecutive_failures_ = 0;
+    time_point ejected_until_{};
+    time_point last_answer_{};
+    time_point ramp_start_{};
+    duration latency_{}; ///< Zero until the first sample.
+    double others_in_flight_ = 0;
+    time_point report_time_{};
+};
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,262 @@
+// Implementation of the sub-commands: reading flags, asking a node, printing tables or JSON.
+#include "ctl/commands.h"
+
+#include "adapters/settings_source.h"
+#include "ctl/node_client.h"
+#include "ctl/tables.h"
+
+#include <absl/flags/flag.h>
+#include <chrono>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <sstream>
+#include <thread>
+
+ABSL_FLAG(std::string, node, "127.0.0.1:8081", "ip:port of a node's admin interface.");
+ABSL_FLAG(std::string, output, "table", "Form of the output: table or json.");
+ABSL_FLAG(std::string, file, "", "File that holds an intent or a plan as JSON; '-' reads standard input.");
+ABSL_FLAG(bool, confirm, false, "With 'intent': confirm the plan at once if it has no warnings.");
+ABSL_FLAG(bool, watch, false, "With 'burn' and 'status': repeat every second until interrupted.");
+ABSL_FLAG(int, timeout_ms, 15000, "Longest wait for the node's answer.");
+
+namespace anvilpost {
+namespace {
+
+constexpr const char* flag_owner = "ctl/commands.cpp";
+constexpr const char* variable_prefix = "ANVILPOSTCTL_";
+constexpr std::chrono::seconds watch_period{1};
+
+constexpr const char* usage = R"(anvilpostctl: operators' tool of anvilpost
+
+  anvilpostctl intent --file=F         state an intent; prints the plan, changes nothing
+  anvilpostctl confirm --file=F        confirm a plan that 'intent --output=json' printed
+  anvilpostctl leaving SERVICE UPSTREAM   plan that an upstream leaves
+  anvilpostctl configuration           print the accepted configuration
+  anvilpostctl status                  print a node's view: revision, services, upstreams
+  anvilpostctl burn                    print the service-level burn report
+  anvilpostctl help
+
+examples:
+  anvilpostctl intent --file=site.json --output=json > plan.json
+  anvilpostctl confirm --file=plan.json
+  anvilpostctl leaving accounts a2 --confirm
+  anvilpostctl burn --watch
+
+exit codes: 0 done, 1 failed, 2 wrong usage, 3 faults in the intent or plan,
+            4 the base has moved (the new plan is printed), 5 no node answered
+
+flags, with their environment variables (a flag goes before a variable):
+)";
+
+int code(exit_code value)
+{
+    return static_cast<int>(value);
+}
+
+int usage_fault(const std::string& problem)
+{
+    std::cerr << "anvilpostctl: " << problem << "\n";
+    return code(exit_code::wrong_usage);
+}
+
+bool json_wanted()
+{
+    return absl::GetFlag(FLAGS_output) == "json";
+}
+
+node_client make_client()
+{
+    std::string ip;
+    std::uint16_t port = 0;
+    parse_address(absl::GetFlag(FLAGS_node), ip, port);
+    return {ip, port, std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms))};
+}
+
+/// Reads the file that --file names. Returns false after printing the problem.
+bool read_document(nlohmann::json& document)
+{
+    const std::string name = absl::GetFlag(FLAGS_file);
+    if (name.empty()) {
+        usage_fault("--file: is required");
+        return false;
+    }
+    std::stringstream text;
+    if (name == "-") {
+        text << std::cin.rdbuf();
+    }
+    else {
+        std::ifstream file(name);
+        if (!file) {
+            usage_fault("--file: cannot read '" + name + "'");
+            return false;
+        }
+        text << file.rdbuf();
+    }
+    document = nlohmann::json::parse(text.str(), nullptr, false);
+    if (document.is_discarded()) {
+        usage_fault("--file: '" + name + "' is not valid JSON");
+        return false;
+    }
+    return true;
+}
+
+/// Prints what a failed answer says and returns the exit code that goes with it.
+int report_failure(const node_answer& answer)
+{
+    if (answer.status_ == 0) {
+        std::cerr << "anvilpostctl: no answer from " << absl::GetFlag(FLAGS_node) << "\n";
+        return code(exit_code::unreachable);
+    }
+    if (answer.status_ == 422 && answer.body_.contains("faults")) {
+        for (const auto& fault : answer.body_["faults"]) {
+            std::cerr << "anvilpostctl: " << fault.value("path", "") << ": " << fault.value("message", "")
+                      << "\n";
+        }
+        return code(exit_code::refused);
+    }
+    if (answer.status_ == 409 && answer.body_.contains("new_plan")) {
+        std::cerr << "anvilpostctl: " << answer.body_.value("detail", "") << "\n";
+        std::cout << (json_wanted() ? answer.body_["new_plan"].dump(2) + "\n"
+                                    : plan_table(answer.body_["new_plan"]));
+        return code(exit_code::base_moved);
+    }
+    const std::string detail = answer.body_.is_object() ? answer.body_.value("detail", "") : answer.text_;
+    std::cerr << "anvilpostctl: the node answered " << answer.status_ << ": " << detail << "\n";
+    return code(exit_code::failed);
+}
+
+int confirm_plan(const nlohmann::json& plan)
+{
+    if (!plan.is_object() || !plan.contains("plan") || !plan.contains("intent") ||
+        !plan.contains("base_revision")) {
+        return usage_fault("--file: holds no plan; it needs plan, base_revision and intent");
+    }
+    const nlohmann::json body{{"base_revision", plan["base_revision"]}, {"intent", plan["intent"]}};
+    const auto answer =
+        make_client().post("/v1/plans/" + plan["plan"].get<std::string>() + "/confirm", body.dump());
+    if (answer.status_ != 200) {
+        return report_failure(answer);
+    }
+    std::cout << (json_wanted() ? answer.body_.dump(2)
+                                : "applied; revision " + std::to_string(answer.body_.value("revision", 0ULL)))
+              << "\n";
+    return code(exit_code::done);
+}
+
+int state_intent(const nlohmann::json& intent)
+{
+    const auto answer = make_client().post("/v1/intents", intent.dump());
+    if (answer.status_ != 200) {
+        return report_failure(answer);
+    }
+    std::cout << (json_wanted() ? answer.body_.dump(2) + "\n" : plan_table(answer.body_));
+    if (!absl::GetFlag(FLAGS_confirm)) {
+        return code(exit_code::done);
+    }
+    if (!answer.body_["warnings"].empty()) {
+        std::cerr << "anvilpostctl: --confirm: the plan has warnings; review it and use 'confirm'\n";
+        return code(exit_code::refused);
+    }
+    return confirm_plan(answer.body_);
+}
+
+int intent_command(const std::vector<std::string>&)
+{
+    nlohmann::json document;
+    return read_document(document) ? state_intent(document) : code(exit_code::wrong_usage);
+}
+
+int confirm_command(const std::vector<std::string>&)
+{
+    nlohmann::json document;
+    return read_document(document) ? confirm_plan(document) : code(exit_code::wrong_usage);
+}
+
+int leaving_command(const std::vector<std::string>& arguments)
+{
+    if (arguments.size() != 2) {
+        return usage_fault("leaving: needs SERVICE and UPSTREAM");
+    }
+    return state_intent({{"changes",
+                          {{{"change", "set_upstream_state"},
+                            {"service", arguments[0]},
+                            {"upstream", arguments[1]},
+                            {"state", "leaving"}}}}});
+}
+
+/// Fetches a path and prints it, once or repeatedly with --watch.
+int show(const std::string& path, const std::function<std::string(const nlohmann::json&)>& table)
+{
+    while (true) {
+        const auto answer = make_client().get(path);
+        if (answer.status_ != 200) {
+            return report_failure(answer);
+        }
+        std::cout << (json_wanted() ? answer.body_.dump(2) + "\n" : table(answer.body_)) << std::flush;
+        if (!absl::GetFlag(FLAGS_watch)) {
+            return code(exit_code::done);
+        }
+        std::this_thread::sleep_for(watch_period);
+    }
+}
+
+int configuration_command(const std::vector<std::string>&)
+{
+    return show("/v1/configuration", [](const nlohmann::json& document) { return document.dump(2) + "\n"; });
+}
+
+int status_command(const std::vector<std::string>&)
+{
+    return show("/v1/status", status_table);
+}
+
+int burn_command(const std::vector<std::string>&)
+{
+    return show("/v1/burn", burn_table);
+}
+
+} // namespace
+
+int run_command(int argc, char** argv)
+{
+    const auto flags = read_flags(argc, argv, flag_owner, variable_prefix);
+    const bool help = flags.help_wanted_ || (!flags.positional_.empty() && flags.positional_[0] == "help");
+    if (help) {
+        std::cout << usage << describe_flags(flag_owner, variable_prefix);
+        return code(exit_code::done);
+    }
+    auto problems = flags.problems_;
+    const std::string output = absl::GetFlag(FLAGS_output);
+    if (output != "table" && output != "json") {
+        problems.push_back("--output: '" + output + "' is neither table nor json");
+    }
+    std::string ip;
+    std::uint16_t port = 0;
+    if (!parse_address(absl::GetFlag(FLAGS_node), ip, port)) {
+        problems.push_back("--node: '" + absl::GetFlag(FLAGS_node) + "' is not a numeric ip:port");
+    }
+    if (absl::GetFlag(FLAGS_timeout_ms) < 1) {
+        problems.emplace_back("--timeout_ms: must be at least 1");
+    }
+    const std::map<std::string, std::function<int(const std::vector<std::string>&)>> commands{
+        {"intent", intent_command}, {"confirm", confirm_command}, {"leaving", leaving_command},
+        {"status", status_command}, {"burn", burn_command},       {"configuration", configuration_command},
+    };
+    if (flags.positional_.empty() || !commands.contains(flags.positional_[0])) {
+        problems.emplace_back(flags.positional_.empty()
+                                  ? "a sub-command is required; see 'anvilpostctl help'"
+                                  : "'" + flags.positional_[0] + "': unknown sub-command");
+    }
+    if (!problems.empty()) {
+        for (const auto& problem : problems) {
+            usage_fault(problem);
+        }
+        return code(exit_code::wrong_usage);
+    }
+    return commands.at(flags.positional_[0])({flags.positional_.begin() + 1, flags.positional_.end()});
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/ctl/node_client.cpp
@@ -0,0 +1,29 @@
+// Runs the loop until one answer has arrived.
+#include "ctl/node_client.h"
+
+namespace anvilpost {
+
+node_answer node_client::send(const std::string& method, const std::string& path, const std::string& body)
+{
+    fetch_request request;
+    request.method_ = method;
+    request.ip_ = ip_;
+    request.port_ = port_;
+    request.target_ = path;
+    request.body_ = body;
+    request.timeout_ = timeout_;
+    node_answer answer;
+    fetch(loop_, request, [&](const fetch_result& result) {
+        answer.status_ = result.status_;
+        answer.text_ = result.body_;
+        answer.body_ = nlohmann::json::parse(result.body_, nullptr, false);
+        if (answer.body_.is_discarded()) {
+            answer.body_ = nullptr;
+        }
+        loop_.stop();
+    });
+    loop_.run();
+    return answer;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/ctl/tables.cpp
@@ -0,0 +1,119 @@
+// Column layout of the tool's tables.
+#include "ctl/tables.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <vector>
+
+namespace anvilpost {
+namespace {
+
+using table_row = std::vector<std::string>;
+
+std::string render(const std::vector<table_row>& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto& row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            widths[i] = std::max(widths[i], row[i].size());
+        }
+    }
+    std::string text;
+    for (const auto& row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            const bool last = i + 1 == row.size();
+            text += row[i] + (last ? "" : std::string(widths[i] - row[i].size() + 2, ' '));
+        }
+        text += "\n";
+    }
+    return text;
+}
+
+std::string number(const nlohmann::json& value, const char* format)
+{
+    if (!value.is_number()) {
+        return "-";
+    }
+    char buffer[32];
+    std::snprintf(buffer, sizeof buffer, format, value.get<double>());
+    return buffer;
+}
+
+std::string text_of(const nlohmann::json& value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+} // namespace
+
+std::string plan_table(const nlohmann::json& plan)
+{
+    std::string text = "plan " + plan.value("plan", "") + " on revision " +
+                       std::to_string(plan.value("base_revision", 0ULL)) + "\n";
+    for (const auto& line : plan["differences"]) {
+        text += "  " + text_of(line) + "\n";
+    }
+    if (plan["differences"].empty()) {
+        text += "  (no difference)\n";
+    }
+    for (const auto& line : plan["warnings"]) {
+        text += "warning: " + text_of(line) + "\n";
+    }
+    return text;
+}
+
+std::string status_table(const nlohmann::json& status)
+{
+    std::string text = "node " + status.value("node", "") + " (" + status.value("data_centre", "") + "), " +
+                       status.value("stage", "") + ", revision " +
+                       std::to_string(status.value("revision", 0ULL)) + ", store " +
+                       (status.value("store_reachable", false) ? "reachable" : "not reachable") + ", " +
+                       std::to_string(status.value("in_flight", 0ULL)) + " in flight\n";
+    std::vector<table_row> rows{{"SERVICE", "UPSTREAM", "STATE", "IN FLIGHT", "NOTE"}};
+    for (const auto& [service, entry] : status["services"].items()) {
+        if (!entry.contains("upstreams")) {
+            continue;
+        }
+        for (const auto& [name, upstream] : entry["upstreams"].items()) {
+            std::string note = upstream.value("ejected", false) ? "kept out after failures" : "";
+            if (upstream.value("leaving", false)) {
+                note = "leaving: " + upstream.value("leaving_because", "");
+            }
+            rows.push_back(
+                {service, name, upstream.value("state", ""), number(upstream["in_flight"], "%.0f"), note});
+        }
+    }
+    return text + render(rows);
+}
+
+std::string burn_table(const nlohmann::json& report)
+{
+    std::string text = "fleet: " + number(report["nodes_heard"], "%.0f") + " of " +
+                       number(report["nodes_known"], "%.0f") + " nodes";
+    for (const auto& missing : report["nodes_missing"]) {
+        text += ", missing " + text_of(missing);
+    }
+    text += "\n";
+    std::vector<table_row> rows{{"SERVICE", "OBJECTIVE", "TARGET", "CALLS", "BAD", "BUDGET LEFT", "BURN 5m",
+                                 "BURN 1h", "BURN 30m", "BURN 6h", "ALERT", "MOSTLY BY"}};
+    for (const auto& [service, entry] : report["services"].items()) {
+        for (const auto* objective : {"availability", "latency"}) {
+            const auto& row = entry[objective];
+            const auto& burn = row["burn_rate"];
+            rows.push_back({service, objective, number(row["target"], "%.4f"), number(row["calls"], "%.0f"),
+                            number(row["bad"], "%.0f"), number(row["budget_left"], "%.2f"),
+                            number(burn["5m"], "%.2f"), number(burn["1h"], "%.2f"),
+                            number(burn["30m"], "%.2f"), number(burn["6h"], "%.2f"), row.value("alert", ""),
+                            row.value("mostly_by", "")});
+        }
+    }
+    text += render(rows);
+    for (const auto& [service, entry] : report["services"].items()) {
+        text += service + " probes: " + number(entry["probes"]["spent_per_second"], "%.3f") + " of " +
+                number(entry["probes"]["budget_per_second"], "%.3f") + " per second\n";
+    }
+    return text;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,33 @@
+// Entry point of anvilpostd. Exit codes: 0 stopped with nothing cut off, 1 stopped with requests cut
+// off or failed to run, 2 wrong settings.
+#include "daemon/node.h"
+#include "daemon/settings.h"
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    const auto reading = anvilpost::read_settings(argc, argv);
+    if (reading.help_wanted_) {
+        std::cout << anvilpost::settings_help();
+        return 0;
+    }
+    if (!reading.problems_.empty()) {
+        for (const auto& problem : reading.problems_) {
+            std::cerr << "anvilpostd: " << problem << "\n";
+        }
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    anvilpost::set_up_logging(reading.settings_.log_level_, reading.settings_.node_);
+    try {
+        anvilpost::node node(reading.settings_);
+        return node.run();
+    }
+    catch (const std::exception& failure) {
+        anvilpost::write_log(anvilpost::log_level::error, "cannot run", {{"reason", failure.what()}});
+        return 1;
+    }
+}
--- /dev/null
+++ b/testing/stand_in_server.h
@@ -0,0 +1,75 @@
+// Helper for the stand-ins: an HTTP server with JSON answers and a control path for switching faults.
+#pragma once
+
+#include "adapters/event/event_loop.h"
+#include "adapters/http/listener.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace anvilpost::testing {
+
+inline std::string body_of(evhttp_request* request)
+{
+    evbuffer* buffer = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(buffer), '\0');
+    evbuffer_copyout(buffer, body.data(), body.size());
+    return body;
+}
+
+inline std::string path_of(evhttp_request* request)
+{
+    const char* path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+    return path == nullptr ? "" : path;
+}
+
+/// Returns one query parameter, or an empty string.
+inline std::string query_of(evhttp_request* request, const char* name)
+{
+    const char* query = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    if (query == nullptr) {
+        return "";
+    }
+    evkeyvalq parameters{};
+    evhttp_parse_query_str(query, &parameters);
+    const char* value = evhttp_find_header(&parameters, name);
+    std::string text = value == nullptr ? "" : value;
+    evhttp_clear_headers(&parameters);
+    return text;
+}
+
+inline std::string header_of(evhttp_request* request, const char* name)
+{
+    const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value == nullptr ? "" : value;
+}
+
+inline void reply(evhttp_request* request, int status, const std::string& body,
+                  const char* type = "application/json")
+{
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", type);
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    evhttp_send_reply(request, status, nullptr, nullptr);
+}
+
+/// Closes the connection without an answer.
+inline void drop(event_loop& loop, evhttp_request* request)
+{
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    loop.defer([connection] { evhttp_connection_free(connection); });
+}
+
+inline listener_limits generous_limits()
+{
+    listener_limits limits;
+    limits.max_connections_ = 20'000;
+    limits.max_body_bytes_ = 64UL << 20U;
+    limits.max_arriving_bytes_ = 1UL << 30U;
+    limits.idle_timeout_ = std::chrono::seconds(120);
+    return limits;
+}
+
+} // namespace anvilpost::testing
--- /dev/null
+++ b/testing/upstream/main.cpp
@@ -0,0 +1,315 @@
+// Stand-in for an upstream: a worker with slots and a queue whose faults can be switched while it runs.
+// It counts how often each idempotency key was executed, which is how tests prove "at most once".
+#include "adapters/settings_source.h"
+#include "stand_in_server.h"
+
+#include <absl/flags/flag.h>
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <iostream>
+#include <list>
+#include <map>
+#include <random>
+#include <set>
+#include <unistd.h>
+
+ABSL_FLAG(int, port, 9000, "Port on 127.0.0.1.");
+ABSL_FLAG(int, slots, 6, "Requests worked on at the same time.");
+ABSL_FLAG(double, service_ms, 5, "Mean service time.");
+ABSL_FLAG(bool, exponential, false, "Draw service times from an exponential distribution.");
+ABSL_FLAG(int, queue, 1000, "Requests waiting; more are shed with 503.");
+ABSL_FLAG(int, seed, 1, "Seed of the service times.");
+
+namespace anvilpost::testing {
+namespace {
+
+using nlohmann::json;
+
+struct upstream_faults {
+    double slow_factor_ = 1;    ///< Service times are multiplied by this.
+    bool fail_fast_ = false;    ///< Every request is answered at once with 500.
+    bool draining_ = false;     ///< Answers carry the leaving header.
+    bool silent_ = false;       ///< Connections that exist now never answer again; new ones work.
+    double reported_load_ = -1; ///< Reported instead of the real load unless negative.
+    double cold_ms_ = 0;        ///< Added to each of the first `cold_requests_` requests.
+    int cold_requests_ = 0;
+    int stolen_slots_ = 0; ///< Slots that other tenants take.
+    bool surplus_ = false; ///< Sends bytes that no request asked for after each answer.
+};
+
+class upstream {
+public:
+    upstream(event_loop& loop, std::uint16_t port)
+        : loop_(loop), generator_(absl::GetFlag(FLAGS_seed)),
+          listener_(loop, "127.0.0.1", port, generous_limits(),
+                    [this](evhttp_request* request) { on_request(request); })
+    {
+    }
+
+private:
+    struct job {
+        evhttp_request* request_ = nullptr; ///< nullptr once the caller has gone.
+        upstream& owner_;
+        std::unique_ptr<timer> work_;
+        std::string marker_;
+        std::string path_;
+        std::size_t left_bytes_ = 0;
+        bool running_ = false;
+    };
+
+    void on_request(evhttp_request* request)
+    {
+        listener_.on_request_whole(request);
+        const std::string path = path_of(request);
+        if (path.starts_with("/stand-in/")) {
+            control(request, path);
+            return;
+        }
+        if (path == "/healthz") {
+            reply(request, faults_.draining_ ? 503 : 200, "{}");
+            return;
+        }
+        evhttp_connection* connection = evhttp_request_get_connection(request);
+        if (faults_.silent_ && old_connections_.contains(connection)) {
+            return;
+        }
+        seen_connections_.insert(connection);
+        const std::string marker = header_of(request, "X-Stand-In");
+        if (marker == "crash") {
+            _exit(1);
+        }
+        if (marker == "reset") {
+            drop(loop_, request);
+            return;
+        }
+        if (faults_.fail_fast_) {
+            reply(request, 500, "failed");
+            return;
+        }
+        if (static_cast<int>(queue_.size()) >= absl::GetFlag(FLAGS_queue)) {
+            add_reports(request);
+            reply(request, 503, "shed");
+            return;
+        }
+        auto& added = jobs_.emplace_back(job{request, *this, nullptr, marker, path, 0, false});
+        evhttp_connection_set_closecb(
+            connection,
+            [](evhttp_connection* closed, void* arg) {
+                auto* gone = static_cast<job*>(arg);
+                gone->owner_.seen_connections_.erase(closed);
+                gone->owner_.old_connections_.erase(closed);
+                gone->request_ = nullptr;
+                ++gone->owner_.cancelled_;
+            },
+            &added);
+        queue_.push_back(&added);
+        start_jobs();
+    }
+
+    [[nodiscard]] int free_slots() const
+    {
+        return absl::GetFlag(FLAGS_slots) - faults_.stolen_slots_ - running_;
+    }
+
+    void start_jobs()
+    {
+        while (!queue_.empty() && free_slots() > 0) {
+            job* next = queue_.front();
+            queue_.pop_front();
+            if (next->request_ == nullptr) {
+                forget(next);
+                continue;
+            }
+            run(next);
+        }
+    }
+
+    void run(job* started)
+    {
+        ++running_;
+        started->running_ = true;
+        const std::string key = header_of(started->request_, "Idempotency-Key");
+        ++executions_[key.empty() ? "-" : key];
+        double length_ms = absl::GetFlag(FLAGS_service_ms);
+        if (absl::GetFlag(FLAGS_exponential)) {
+            length_ms = std::exponential_distribution<double>(1 / length_ms)(generator_);
+        }
+        if (const auto wanted = header_of(started->request_, "X-Stand-In-Ms"); !wanted.empty()) {
+            length_ms = std::stod(wanted);
+        }
+        length_ms *= faults_.slow_factor_;
+        if (faults_.cold_requests_ > 0) {
+            --faults_.cold_requests_;
+            length_ms += faults_.cold_ms_;
+        }
+        started->work_ = std::make_unique<timer>(loop_, [this, started] { finish(started); });
+        started->work_->start(duration(static_cast<duration::rep>(length_ms * 1000)));
+    }
+
+    void finish(job* done)
+    {
+        --running_;
+        evhttp_request* request = done->request_;
+        if (request == nullptr) {
+            forget(done);
+            start_jobs();
+            return;
+        }
+        add_reports(request);
+        const std::string bytes = "/bytes/";
+        if (done->path_.starts_with(bytes)) {
+            stream(done, std::stoull(done->path_.substr(bytes.size())));
+            start_jobs();
+            return;
+        }
+        if (done->marker_ == "cut") {
+            cut_answer(request);
+        }
+        else {
+            evhttp_connection* connection = evhttp_request_get_connection(request);
+            evhttp_connection_set_closecb(connection, nullptr, nullptr);
+            reply(request, 200,
+                  json{{"echo", header_of(request, "X-Echo")}, {"port", listener_.port()}}.dump());
+            if (faults_.surplus_) {
+                send_surplus(connection);
+            }
+        }
+        forget(done);
+        start_jobs();
+    }
+
+    /// Announces more bytes than it sends, then closes.
+    void cut_answer(evhttp_request* request)
+    {
+        evhttp_connection* connection = evhttp_request_get_connection(request);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", "1000");
+        evhttp_send_reply_start(request, 200, nullptr);
+        evbuffer* half = evbuffer_new();
+        evbuffer_add_printf(half, "%0500d", 0);
+        evhttp_send_reply_chunk(request, half);
+        evbuffer_free(half);
+        auto pause = std::make_shared<std::unique_ptr<timer>>();
+        *pause = std::make_unique<timer>(loop_, [this, pause, connection] {
+            evhttp_connection_free(connection);
+            loop_.defer([pause] { pause->reset(); });
+        });
+        (*pause)->start(std::chrono::milliseconds(20));
+    }
+
+    static void send_surplus(evhttp_connection* connection)
+    {
+        const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus";
+        evbuffer_add(bufferevent_get_output(evhttp_connection_get_bufferevent(connection)), surplus.data(),
+                     surplus.size());
+    }
+
+    void stream(job* sending, std::size_t length)
+    {
+        sending->left_bytes_ = length;
+        evhttp_add_header(evhttp_request_get_output_headers(sending->request_), "Content-Length",
+                          std::to_string(length).c_str());
+        evhttp_send_reply_start(sending->request_, 200, nullptr);
+        send_part(sending);
+    }
+
+    static void send_part(job* sending)
+    {
+        constexpr std::size_t part_bytes = 64UL * 1024;
+        static const std::string part(part_bytes, 'x');
+        if (sending->request_ == nullptr) {
+            sending->owner_.forget(sending);
+            return;
+        }
+        if (sending->left_bytes_ == 0) {
+            evhttp_connection_set_closecb(evhttp_request_get_connection(sending->request_), nullptr, nullptr);
+            evhttp_send_reply_end(sending->request_);
+            sending->owner_.forget(sending);
+            return;
+        }
+        const std::size_t size = std::min(part_bytes, sending->left_bytes_);
+        sending->left_bytes_ -= size;
+        evbuffer* bytes = evbuffer_new();
+        evbuffer_add(bytes, part.data(), size);
+        evhttp_send_reply_chunk_with_cb(
+            sending->request_, bytes,
+            [](evhttp_connection*, void* arg) { send_part(static_cast<job*>(arg)); }, sending);
+        evbuffer_free(bytes);
+    }
+
+    void forget(job* ended)
+    {
+        jobs_.remove_if([ended](const job& entry) { return &entry == ended; });
+    }
+
+    void add_reports(evhttp_request* request)
+    {
+        evkeyvalq* headers = evhttp_request_get_output_headers(request);
+        const double load = faults_.reported_load_ >= 0 ? faults_.reported_load_
+                                                        : static_cast<double>(running_ + queue_.size());
+        evhttp_add_header(headers, "endpoint-load-metrics",
+                          ("JSON " + json{{"named_metrics", {{"in_flight", load}}}}.dump()).c_str());
+        if (faults_.draining_) {
+            evhttp_add_header(headers, "Anvilpost-Leaving", "true");
+        }
+    }
+
+    void control(evhttp_request* request, const std::string& path)
+    {
+        if (path == "/stand-in/executions") {
+            reply(request, 200,
+                  json{{"by_key", executions_}, {"cancelled", cancelled_}, {"running", running_}}.dump());
+            return;
+        }
+        const json wanted = json::parse(body_of(request), nullptr, false);
+        if (path != "/stand-in/faults" || !wanted.is_object()) {
+            reply(request, 400, "unknown control");
+            return;
+        }
+        faults_.slow_factor_ = wanted.value("slow_factor", 1.0);
+        faults_.fail_fast_ = wanted.value("fail_fast", false);
+        faults_.draining_ = wanted.value("draining", false);
+        faults_.reported_load_ = wanted.value("reported_load", -1.0);
+        faults_.cold_ms_ = wanted.value("cold_ms", 0.0);
+        faults_.cold_requests_ = wanted.value("cold_requests", 0);
+        faults_.stolen_slots_ = wanted.value("stolen_slots", 0);
+        faults_.surplus_ = wanted.value("surplus", false);
+        faults_.silent_ = wanted.value("silent", false);
+        old_connections_ = faults_.silent_ ? seen_connections_ : std::set<evhttp_connection*>{};
+        reply(request, 200, "{}");
+        start_jobs();
+    }
+
+    event_loop& loop_;
+    std::mt19937_64 generator_;
+    upstream_faults faults_;
+    std::list<job> jobs_;
+    std::deque<job*> queue_;
+    int running_ = 0;
+    std::uint64_t cancelled_ = 0;
+    std::map<std::string, int> executions_;
+    std::set<evhttp_connection*> seen_connections_;
+    std::set<evhttp_connection*> old_connections_;
+    listener listener_;
+};
+
+} // namespace
+} // namespace anvilpost::testing
+
+int main(int argc, char** argv)
+{
+    const auto flags = anvilpost::read_flags(argc, argv, "testing/upstream/main.cpp", "STAND_IN_");
+    for (const auto& problem : flags.problems_) {
+        std::cerr << problem << "\n";
+    }
+    if (!flags.problems_.empty()) {
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    anvilpost::event_loop loop;
+    const anvilpost::testing::upstream worker(loop, static_cast<std::uint16_t>(absl::GetFlag(FLAGS_port)));
+    const anvilpost::signal_watch terminate(loop, SIGTERM, [] { std::quick_exit(0); });
+    loop.run();
+    return 0;
+}
--- /dev/null
+++ b/tests/adapters/header_rules_test.cpp
@@ -0,0 +1,61 @@
+// Tests of the header rules: framing, hop-by-hop names, deadlines, load reports.
+#include "adapters/http/header_rules.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvilpost;
+
+TEST_CASE("ambiguous framing is refused")
+{
+    const std::vector<header_list> ambiguous{
+        {{"Content-Length", "5"}, {"Transfer-Encoding", "chunked"}},
+        {{"Content-Length", "5"}, {"Content-Length", "5"}},
+        {{"Content-Length", "+5"}},
+        {{"Content-Length", "5, 5"}},
+        {{"Content-Length", ""}},
+        {{"Content-Length ", "5"}},
+        {{"Transfer-Encoding", "gzip, chunked"}},
+        {{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}},
+        {{"Content-Length", "99999999999999999999999"}},
+    };
+    for (const auto& headers : ambiguous) {
+        INFO(headers[0].first << ": " << headers[0].second);
+        CHECK_FALSE(parse_framing(headers).has_value());
+    }
+}
+
+TEST_CASE("plain framing is read")
+{
+    REQUIRE(parse_framing({{"content-length", "12"}})->content_length_ == 12U);
+    REQUIRE(parse_framing({{"Transfer-Encoding", "Chunked"}})->chunked_);
+    REQUIRE_FALSE(parse_framing({{"Host", "a"}})->content_length_.has_value());
+}
+
+TEST_CASE("headers that the Connection header names are hop-by-hop")
+{
+    REQUIRE(is_hop_by_hop("X-Secret", "close, x-secret"));
+    REQUIRE(is_hop_by_hop("Keep-Alive", ""));
+    REQUIRE_FALSE(is_hop_by_hop("X-Other", "close, x-secret"));
+}
+
+TEST_CASE("a deadline must be a positive number of milliseconds")
+{
+    REQUIRE(parse_timeout({{"anvilpost-timeout-ms", "250"}}) == std::chrono::milliseconds(250));
+    REQUIRE_FALSE(parse_timeout({{"Anvilpost-Timeout-Ms", "0"}}).has_value());
+    REQUIRE_FALSE(parse_timeout({{"Anvilpost-Timeout-Ms", "12s"}}).has_value());
+}
+
+TEST_CASE("a host loses its port and its case")
+{
+    REQUIRE(host_without_port("Desk.Example:8080") == "desk.example");
+    REQUIRE(host_without_port("[::1]:80") == "[::1]");
+    REQUIRE(host_without_port("[::1]") == "[::1]");
+}
+
+TEST_CASE("a load report is read from its JSON form and refused when malformed")
+{
+    REQUIRE(parse_reported_in_flight(R"(JSON {"named_metrics":{"in_flight":3}})") == 3.0);
+    REQUIRE_FALSE(parse_reported_in_flight("TEXT in_flight=3").has_value());
+    REQUIRE_FALSE(parse_reported_in_flight(R"({"named_metrics":{"in_flight":-1}})").has_value());
+    REQUIRE_FALSE(parse_reported_in_flight(R"({"named_metrics":[)").has_value());
+}
--- /dev/null
+++ b/tests/core/fakes.h
@@ -0,0 +1,146 @@
+// Fakes of the core's ports, driven in virtual time.
+#pragma once
+
+#include "core/call_engine.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace anvilpost::testing {
+
+using namespace std::chrono_literals;
+
+class manual_clock : public clock_port {
+public:
+    [[nodiscard]] time_point now() const override { return now_; }
+    void advance(duration by) { now_ += by; }
+
+    time_point now_{1h};
+};
+
+class seeded_random : public random_port {
+public:
+    explicit seeded_random(std::uint64_t seed = 1) : state_(seed) {}
+
+    /// SplitMix64, for its short state and good spread.
+    std::uint64_t next() override
+    {
+        state_ += 0x9e3779b97f4a7c15ULL;
+        std::uint64_t mixed = state_;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+        return mixed ^ (mixed >> 31U);
+    }
+
+private:
+    std::uint64_t state_;
+};
+
+class recording_upstreams : public upstream_port {
+public:
+    void start(const attempt_order& order) override { started_.push_back(order); }
+    void cancel(attempt_id attempt) override { cancelled_.push_back(attempt); }
+
+    [[nodiscard]] const attempt_order& last() const { return started_.back(); }
+
+    std::vector<attempt_order> started_;
+    std::vector<attempt_id> cancelled_;
+};
+
+class recording_callers : public caller_port {
+public:
+    void reject(call_id call, const problem& why) override
+    {
+        rejected_[call] = why;
+        ++answers_[call];
+    }
+    void relay(call_id call, attempt_id attempt) override
+    {
+        relayed_[call] = attempt;
+        ++answers_[call];
+    }
+    void abort(call_id call) override { aborted_.push_back(call); }
+
+    std::map<call_id, problem> rejected_;
+    std::map<call_id, attempt_id> relayed_;
+    std::map<call_id, int> answers_;
+    std::vector<call_id> aborted_;
+};
+
+class recording_claims : public claim_port {
+public:
+    void claim(call_id call, const std::string&, const std::string&) override { claimed_.push_back(call); }
+    void release(call_id call) override { released_.push_back(call); }
+    void keep(call_id call) override { kept_.push_back(call); }
+
+    std::vector<call_id> claimed_;
+    std::vector<call_id> released_;
+    std::vector<call_id> kept_;
+};
+
+class recording_observer : public call_observer {
+public:
+    void on_call_finished(const call_record& record) override { records_.push_back(record); }
+    std::vector<call_record> records_;
+};
+
+/// An engine with fakes around it and one service "desk" of `upstreams` upstreams u1, u2, ...
+struct engine_bench {
+    explicit engine_bench(int upstreams = 3, int slots = 2)
+    {
+        service_config service;
+        service.hosts_ = {"desk.example"};
+        service.policy_.slots_ = slots;
+        for (int i = 1; i <= upstreams; ++i) {
+            service.upstreams_["u" + std::to_string(i)] = {"127.0.0.1", static_cast<std::uint16_t>(9000 + i),
+                                                           "", "", upstream_state::active};
+        }
+        config_.revision_ = 1;
+        config_.services_["desk"] = service;
+        engine_.apply(config_);
+    }
+
+    call_id send(bool repeatable, const std::string& key = "", duration timeout = 1s)
+    {
+        call request;
+        request.id_ = call_id{next_call_++};
+        request.service_ = "desk";
+        request.repeatable_ = repeatable;
+        request.idempotency_key_ = key;
+        request.fingerprint_ = static_cast<std::uint64_t>(request.id_);
+        request.arrival_ = clock_.now();
+        request.deadline_ = clock_.now() + timeout;
+        engine_.on_call(request);
+        return request.id_;
+    }
+
+    void answer(attempt_id attempt, int status = 200)
+    {
+        engine_.on_answer_started(attempt, {status, false, std::nullopt});
+        if (callers_.relayed_.end() !=
+            std::find_if(callers_.relayed_.begin(), callers_.relayed_.end(),
+                         [&](const auto& entry) { return entry.second == attempt; })) {
+            engine_.on_attempt_ended(attempt, attempt_outcome::complete);
+        }
+    }
+
+    void advance(duration by)
+    {
+        clock_.advance(by);
+        engine_.on_wakeup();
+    }
+
+    manual_clock clock_;
+    seeded_random random_;
+    recording_upstreams upstreams_;
+    recording_callers callers_;
+    recording_claims claims_;
+    recording_observer observer_;
+    configuration config_;
+    call_engine engine_{{clock_, random_, upstreams_, callers_, claims_, observer_}};
+    std::uint64_t next_call_ = 1;
+};
+
+} // namespace anvilpost::testing
--- /dev/null
+++ b/tests/core/intent_test.cpp
@@ -0,0 +1,104 @@
+// Tests of intents and plans.
+#include "core/configuration_json.h"
+#include "core/intent.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvilpost;
+using nlohmann::json;
+
+namespace {
+
+json put_service(const std::string& name, const std::string& host)
+{
+    return {{"change", "put_service"},
+            {"service", name},
+            {"value", {{"hosts", {host}}, {"upstreams", {{"u1", {{"ip", "10.0.0.1"}, {"port", 80}}}}}}}};
+}
+
+json changes(const std::vector<json>& list)
+{
+    return {{"changes", list}};
+}
+
+std::vector<std::string> fault_paths(const json& document)
+{
+    try {
+        parse_intent(document);
+    }
+    catch (const invalid_document& invalid) {
+        std::vector<std::string> paths;
+        for (const auto& fault : invalid.faults()) {
+            paths.push_back(fault.path_);
+        }
+        return paths;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("a plan shows each difference and bumps the revision by one")
+{
+    const auto derived = derive_plan(parse_intent(changes({put_service("desk", "desk.example")})), {});
+    REQUIRE(derived.base_revision_ == 0);
+    REQUIRE(derived.result_.revision_ == 1);
+    REQUIRE(derived.differences_ == std::vector<std::string>{"+ service desk for [\"desk.example\"]",
+                                                             "+ upstream desk/u1 at 10.0.0.1:80 (active)"});
+    REQUIRE(derived.warnings_ ==
+            std::vector<std::string>{"leaves service desk with 1 upstreams that receive calls"});
+}
+
+TEST_CASE("the same intent on the same base gives the same plan on every node")
+{
+    const auto document = changes({put_service("desk", "desk.example")});
+    REQUIRE(derive_plan(parse_intent(document), {}).id_ == derive_plan(parse_intent(document), {}).id_);
+    configuration moved;
+    moved.revision_ = 4;
+    REQUIRE(derive_plan(parse_intent(document), {}).id_ != derive_plan(parse_intent(document), moved).id_);
+}
+
+TEST_CASE("a plan lists itself as applied in its result")
+{
+    const auto derived = derive_plan(parse_intent(changes({put_service("desk", "desk.example")})), {});
+    REQUIRE(applied_revision(derived.result_, derived.id_) == 1U);
+    REQUIRE_FALSE(applied_revision(derived.result_, "another").has_value());
+}
+
+TEST_CASE("every fault of an intent is reported with its path")
+{
+    const json bad{{"changes",
+                    {{{"change", "put_upstream"},
+                      {"service", "desk"},
+                      {"upstream", "u1"},
+                      {"value", {{"ip", "nowhere"}, {"port", 70000}, {"colour", "red"}}}},
+                     {{"change", "explode"}, {"service", 5}}}}};
+    REQUIRE(fault_paths(bad) == std::vector<std::string>{"/changes/0/value/ip", "/changes/0/value/port",
+                                                         "/changes/0/value/colour", "/changes/1/change",
+                                                         "/changes/1/service", "/changes/1/value"});
+}
+
+TEST_CASE("an intent that names an unknown upstream does not fit the base")
+{
+    const auto wanted = parse_intent(changes(
+        {{{"change", "set_upstream_state"}, {"service", "desk"}, {"upstream", "u9"}, {"state", "leaving"}}}));
+    REQUIRE_THROWS_AS(derive_plan(wanted, {}), invalid_document);
+}
+
+TEST_CASE("two services may not claim the same host")
+{
+    const auto wanted =
+        parse_intent(changes({put_service("a", "same.example"), put_service("b", "same.example")}));
+    REQUIRE_THROWS_AS(derive_plan(wanted, {}), invalid_document);
+}
+
+TEST_CASE("a configuration survives printing and parsing")
+{
+    const auto derived = derive_plan(parse_intent(changes({put_service("desk", "desk.example")})), {});
+    REQUIRE(parse_configuration(to_json(derived.result_)) == derived.result_);
+}
+
+TEST_CASE("a configuration without a revision is refused")
+{
+    REQUIRE_THROWS_AS(parse_configuration(json{{"services", json::object()}}), invalid_document);
+}
