Call path proved end to end: framing, limits, cut and surplus answers, hang-ups, planned stops

Change: end-to-end tests with real processes; the upstream stand-in now notices a caller's hang-up by EV_CLOSED, since evhttp does not read while it answers (ruled out: the daemon not cancelling; its connection did close).

--- a/testing/upstream/main.cpp
+++ b/testing/upstream/main.cpp
@@ -56,6 +56,7 @@
         std::string path_;
         std::size_t left_bytes_ = 0;
         bool running_ = false;
+        event_ptr hang_up_;
     };
 
     void on_request(evhttp_request* request)
@@ -92,7 +93,7 @@
             reply(request, 503, "shed");
             return;
         }
-        auto& added = jobs_.emplace_back(job{request, *this, nullptr, marker, path, 0, false});
+        auto& added = jobs_.emplace_back(job{request, *this, nullptr, marker, path, 0, false, nullptr});
         evhttp_connection_set_closecb(
             connection,
             [](evhttp_connection* closed, void* arg) {
@@ -103,10 +104,27 @@
                 ++gone->owner_.cancelled_;
             },
             &added);
+        watch_for_hang_up(added);
         queue_.push_back(&added);
         start_jobs();
     }
 
+    void watch_for_hang_up(job& watched)
+    {
+        const int fd = bufferevent_getfd(
+            evhttp_connection_get_bufferevent(evhttp_request_get_connection(watched.request_)));
+        watched.hang_up_.reset(event_new(
+            loop_.base(), fd, EV_CLOSED,
+            [](evutil_socket_t, short, void* arg) {
+                auto* gone = static_cast<job*>(arg);
+                if (gone->request_ != nullptr) {
+                    evhttp_connection_free(evhttp_request_get_connection(gone->request_));
+                }
+            },
+            &watched));
+        event_add(watched.hang_up_.get(), nullptr);
+    }
+
     [[nodiscard]] int free_slots() const
     {
         return absl::GetFlag(FLAGS_slots) - faults_.stolen_slots_ - running_;
@@ -156,6 +174,7 @@
             start_jobs();
             return;
         }
+        done->hang_up_.reset();
         add_reports(request);
         const std::string bytes = "/bytes/";
         if (done->path_.starts_with(bytes)) {
--- a/tests/end_to_end/call_path_test.cpp
+++ b/tests/end_to_end/call_path_test.cpp
@@ -1,7 +1,9 @@
-// The call path with real processes and sockets.
+// The call path with real processes and sockets: whole answers, truthful verdicts, limits, framing.
 #include "end_to_end/processes.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
 
 using namespace anvilpost::testing;
 
@@ -20,4 +22,180 @@
     const auto answer = send(fleet.call_port(0), "GET", "/", "", {{"Host", "nobody.example"}});
     REQUIRE(answer.status_ == 404);
     REQUIRE(answer.verdict_ == "not_run");
+    REQUIRE(answer.json_["verdict"] == "not_run");
+}
+
+TEST_CASE("requests with ambiguous framing are refused and their connection closed")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const std::vector<std::string> ambiguous{
+        "POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "GET / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 35\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: "
+        "a\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: desk.example\r\nHost: other.example\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    };
+    for (const auto& bytes : ambiguous) {
+        const auto received = send_raw(fleet.call_port(0), bytes);
+        INFO(bytes << "\n-> " << received);
+        CHECK(received.starts_with("HTTP/1.1 400"));
+        CHECK(received.find("HTTP/1.1", 8) == std::string::npos);
+    }
+    REQUIRE(fleet.executions("-") == 0);
+}
+
+TEST_CASE("a body over the limit is refused with 413 as not run")
+{
+    fleet fleet(1, 1, {}, {"--max_body_kb=64"});
+    fleet.put_desk();
+    const auto answer = fleet.call("POST", "/upload", {}, 0, std::string(256 * 1024, 'x'));
+    REQUIRE(answer.status_ == 413);
+    REQUIRE(answer.verdict_ == "not_run");
+    REQUIRE(fleet.executions("-") == 0);
+}
+
+TEST_CASE("an answer that breaks off is never taken for a whole one")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const auto received =
+        send_raw(fleet.call_port(0), "GET / HTTP/1.1\r\nHost: desk.example\r\nX-Stand-In: cut\r\n\r\n");
+    INFO(received);
+    const auto answer = fleet.call("GET", "/", {{"X-Stand-In", "cut"}});
+    REQUIRE(answer.status_ == 0);
+}
+
+TEST_CASE("bytes that an upstream sent behind an answer never reach the next caller")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    fleet.upstream_faults(0, {{"surplus", true}});
+    for (int i = 0; i < 20; ++i) {
+        const std::string echo = "caller-" + std::to_string(i);
+        const auto answer = fleet.call("GET", "/", {{"X-Echo", echo}});
+        INFO(answer.body_);
+        REQUIRE(answer.status_ == 200);
+        REQUIRE(answer.json_["echo"] == echo);
+    }
+}
+
+TEST_CASE("a node answers many callers at once with each one's own answer")
+{
+    fleet fleet(1, 2);
+    fleet.put_desk();
+    std::vector<std::future<http_answer>> answers;
+    for (int i = 0; i < 40; ++i) {
+        answers.push_back(std::async(std::launch::async, [&fleet, i] {
+            return fleet.call(
+                "GET", "/", {{"X-Echo", "c" + std::to_string(i)}, {"X-Stand-In-Ms", std::to_string(i % 7)}});
+        }));
+    }
+    for (int i = 0; i < 40; ++i) {
+        const auto answer = answers[static_cast<std::size_t>(i)].get();
+        INFO(answer.body_);
+        REQUIRE(answer.json_["echo"] == "c" + std::to_string(i));
+    }
+}
+
+TEST_CASE("a call that no upstream answers in time hears that it may have run and when to come back")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const auto answer = fleet.call("POST", "/", {{"X-Stand-In-Ms", "5000"}, {"Anvilpost-Timeout-Ms", "200"}});
+    REQUIRE(answer.status_ == 504);
+    REQUIRE(answer.verdict_ == "may_have_run");
+    REQUIRE(answer.json_.contains("retry_after_s"));
+}
+
+TEST_CASE("a caller that hangs up cancels its work at the upstream")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    auto caller = std::async(std::launch::async, [&] {
+        return send_raw(fleet.call_port(0),
+                        "GET / HTTP/1.1\r\nHost: desk.example\r\nX-Stand-In-Ms: 8000\r\n\r\n");
+    });
+    caller.wait(); // send_raw gives up after 3 s and closes its connection.
+    REQUIRE(eventually([&] {
+        return send(fleet.upstream_port(0), "GET", "/stand-in/executions").json_.value("cancelled", 0) == 1;
+    }));
+    REQUIRE(eventually([&] { return fleet.status(0).value("in_flight", -1) == 0; }));
+}
+
+TEST_CASE("a call whose upstreams all refuse connections was not run")
+{
+    fleet fleet(1, 2);
+    fleet.put_desk();
+    fleet.upstreams_.clear();
+    fleet.upstreams_.resize(2);
+    const auto answer = fleet.call("POST", "/");
+    REQUIRE(answer.status_ == 503);
+    REQUIRE(answer.verdict_ == "not_run");
+}
+
+TEST_CASE("a call whose upstream crashed under it may have run and a later call is served by another")
+{
+    fleet fleet(1, 2);
+    fleet.put_desk();
+    const auto answer = fleet.call("POST", "/", {{"X-Stand-In", "crash"}});
+    REQUIRE(answer.status_ == 502);
+    REQUIRE(answer.verdict_ == "may_have_run");
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(fleet.call("POST", "/", {{"X-Echo", "after"}}).status_ == 200);
+    }
+}
+
+TEST_CASE("a planned stop of a node cuts off no request in flight and exits with 0")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    auto caller = std::async(std::launch::async, [&] {
+        return fleet.call("GET", "/", {{"X-Echo", "slow"}, {"X-Stand-In-Ms", "1500"}});
+    });
+    REQUIRE(eventually([&] { return fleet.status(0).value("in_flight", 0) == 1; }));
+    fleet.nodes_[0]->signal(SIGTERM);
+    REQUIRE(eventually([&] { return send(fleet.admin_port(0), "GET", "/ready").status_ == 503; }));
+    const auto answer = caller.get();
+    REQUIRE(answer.status_ == 200);
+    REQUIRE(answer.json_["echo"] == "slow");
+    REQUIRE(fleet.nodes_[0]->wait() == 0);
+}
+
+TEST_CASE("a second signal ends a draining node at once and says what was cut off")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    auto caller = std::async(std::launch::async, [&] {
+        return fleet.call("GET", "/", {{"X-Stand-In-Ms", "9000"}});
+    });
+    REQUIRE(eventually([&] { return fleet.status(0).value("in_flight", 0) == 1; }));
+    fleet.nodes_[0]->signal(SIGTERM);
+    REQUIRE(eventually([&] { return fleet.status(0).value("stage", "") != "running"; }));
+    fleet.nodes_[0]->signal(SIGTERM);
+    REQUIRE(fleet.nodes_[0]->wait() == 1);
+    REQUIRE(caller.get().status_ == 0);
+}
+
+TEST_CASE("wrong settings are all reported at once and nothing starts")
+{
+    child_process wrong("src/anvilpostd", {"--listen=nowhere", "--drain_timeout_ms=-1", "--colour=red"});
+    REQUIRE(wrong.wait() == 2);
+}
+
+TEST_CASE("an upstream that starts to leave gets no new call after its first answer says so")
+{
+    fleet fleet(1, 2);
+    fleet.put_desk();
+    fleet.upstream_faults(0, {{"draining", true}});
+    REQUIRE(eventually([&] {
+        fleet.call("GET", "/");
+        return fleet.status(0)["services"]["desk"]["upstreams"]["u0"].value("leaving", false);
+    }));
+    const auto port = fleet.upstream_port(0);
+    for (int i = 0; i < 30; ++i) {
+        REQUIRE(fleet.call("GET", "/").json_["port"] != port);
+    }
 }
--- a/tests/end_to_end/processes.h
+++ b/tests/end_to_end/processes.h
@@ -22,6 +22,7 @@
     /// Waits for the end and returns the exit code, or 128 plus the signal's number.
     int wait();
     [[nodiscard]] bool running();
+    [[nodiscard]] pid_t pid() const { return pid_; }
 
 private:
     pid_t pid_ = -1;
