--- a/src/core/claim_ledger.cpp
+++ b/src/core/claim_ledger.cpp
@@ -105,7 +105,12 @@
         ++counters_.granted_;
         granted_[claim.call_] = {shard_of(claim.key_), claim.id_};
         break;
-    case claim_decision::duplicate: ++counters_.duplicates_; break;
+    case claim_decision::duplicate:
+        ++counters_.duplicates_;
+        if (claim.written_) {
+            shard.abandoned_.insert(claim.id_);
+        }
+        break;
     case claim_decision::key_expired: break;
     case claim_decision::store_unusable:
         ++counters_.refused_;
@@ -160,15 +165,18 @@
 {
     auto unresolved = std::move(shard.in_write_);
     shard.in_write_.clear();
+    std::vector<pending_claim> waiting_again;
     for (auto& claim : unresolved) {
         const auto entry = value.entries_.find(claim.key_);
         if (entry != value.entries_.end() && entry->second.id_ == claim.id_) {
             settle(shard, claim, claim_decision::granted);
         }
         else if (!claim.answered_) {
-            shard.waiting_.push_back(claim);
+            waiting_again.push_back(claim);
         }
     }
+    // They go before claims that came later: theirs may be the entry that stands in the store.
+    shard.waiting_.insert(shard.waiting_.begin(), waiting_again.begin(), waiting_again.end());
 }
 
 bool claim_ledger::remove_abandoned(shard_state& shard, claim_shard& value)
--- /dev/null
+++ b/tests/core/claim_ledger_test.cpp
@@ -0,0 +1,353 @@
+// Tests of the claim ledger: at most one grant per key under lost, late, stale and refused operations.
+#include "core/claim_ledger.h"
+#include "core/fake_store.h"
+#include "core/fakes.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <rapidcheck.h>
+
+using namespace anvilpost;
+using namespace anvilpost::testing;
+
+namespace {
+
+claim_settings one_shard()
+{
+    claim_settings settings;
+    settings.shards_ = 1;
+    return settings;
+}
+
+/// One node's ledger with a record of its decisions.
+struct ledger_bench {
+    ledger_bench(fake_store& store, manual_clock& clock, manual_wall_clock& wall_clock,
+                 std::uint64_t claimant)
+        : ledger_(store, clock, wall_clock, claimant, one_shard())
+    {
+        ledger_.on_decided([this](call_id call, claim_decision decision) { decisions_[call] = decision; });
+    }
+
+    call_id claim(const std::string& key)
+    {
+        const call_id call{next_++};
+        ledger_.claim(call, "desk", key);
+        return call;
+    }
+
+    claim_ledger ledger_;
+    std::map<call_id, claim_decision> decisions_;
+    std::uint64_t next_ = 1;
+};
+
+struct two_nodes {
+    fake_store store_;
+    manual_clock clock_;
+    manual_wall_clock wall_clock_;
+    ledger_bench a_{store_, clock_, wall_clock_, 1};
+    ledger_bench b_{store_, clock_, wall_clock_, 2};
+
+    void pause_and_wake()
+    {
+        clock_.advance(1s);
+        a_.ledger_.on_wakeup();
+        b_.ledger_.on_wakeup();
+    }
+};
+
+std::string uuid_v7(std::chrono::milliseconds created)
+{
+    char text[80];
+    const auto value = static_cast<unsigned long long>(created.count());
+    std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-000000000001", (value >> 16U) & 0xffffffffU,
+                  value & 0xffffU);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a first claim is granted and a second one with the same key is a duplicate on any node")
+{
+    two_nodes nodes;
+    const auto first = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(first) == claim_decision::granted);
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::duplicate);
+}
+
+TEST_CASE("claims that arrive while a write is under way share the next write")
+{
+    two_nodes nodes;
+    nodes.a_.claim("k0");
+    for (int i = 1; i <= 50; ++i) {
+        nodes.a_.claim("k" + std::to_string(i));
+    }
+    nodes.store_.settle();
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.ledger_.counters().granted_ == 51);
+    REQUIRE(nodes.a_.ledger_.counters().writes_ <= 2);
+}
+
+TEST_CASE("two nodes that claim the same key at once get one grant")
+{
+    two_nodes nodes;
+    const auto a = nodes.a_.claim("renew-1");
+    const auto b = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(a) == claim_decision::granted);
+    REQUIRE(nodes.b_.decisions_.at(b) == claim_decision::duplicate);
+}
+
+TEST_CASE("a claim whose write took effect though its answer was lost is granted after reading back")
+{
+    two_nodes nodes;
+    const auto call = nodes.a_.claim("renew-1");
+    nodes.store_.step();
+    nodes.store_.step(store_fault::lose_answer);
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(call) == claim_decision::granted);
+}
+
+TEST_CASE("a claim whose write was lost is written again and granted")
+{
+    two_nodes nodes;
+    const auto call = nodes.a_.claim("renew-1");
+    nodes.store_.step();
+    nodes.store_.step(store_fault::lose_request);
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(call) == claim_decision::granted);
+}
+
+TEST_CASE("with the store down a claim is refused and a later resend runs")
+{
+    two_nodes nodes;
+    const auto refused = nodes.a_.claim("renew-1");
+    nodes.store_.settle(store_fault::refuse);
+    REQUIRE(nodes.a_.decisions_.at(refused) == claim_decision::store_unusable);
+    nodes.pause_and_wake();
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::granted);
+}
+
+TEST_CASE("a late write of a refused claim cannot take effect once the resend was granted")
+{
+    two_nodes nodes;
+    const auto refused = nodes.a_.claim("renew-1");
+    nodes.store_.step();
+    nodes.store_.step(store_fault::delay_effect);
+    nodes.store_.settle(store_fault::refuse);
+    REQUIRE(nodes.a_.decisions_.at(refused) == claim_decision::store_unusable);
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::granted);
+    nodes.store_.land_delayed();
+    const auto third = nodes.a_.claim("renew-1");
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(third) == claim_decision::duplicate);
+}
+
+TEST_CASE("a refused claim that took effect after all is removed, so that a later resend runs")
+{
+    two_nodes nodes;
+    const auto refused = nodes.a_.claim("renew-1");
+    nodes.store_.step();
+    nodes.store_.step(store_fault::delay_effect);
+    nodes.store_.settle(store_fault::refuse);
+    REQUIRE(nodes.a_.decisions_.at(refused) == claim_decision::store_unusable);
+    nodes.store_.land_delayed();
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.ledger_.abandoned() == 0);
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::granted);
+}
+
+TEST_CASE("the same node that refused a claim can run its resend at once")
+{
+    two_nodes nodes;
+    nodes.a_.claim("renew-1");
+    nodes.store_.step();
+    nodes.store_.step(store_fault::lose_answer);
+    nodes.store_.settle(store_fault::refuse);
+    nodes.clock_.advance(1s);
+    const auto resent = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(resent) == claim_decision::granted);
+}
+
+TEST_CASE("a released claim lets the next one through")
+{
+    two_nodes nodes;
+    const auto first = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    nodes.a_.ledger_.release(first);
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    const auto second = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(second) == claim_decision::granted);
+}
+
+TEST_CASE("a release made while another write is under way is not forgotten")
+{
+    two_nodes nodes;
+    const auto first = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    nodes.clock_.advance(1s);
+    nodes.a_.claim("renew-2");
+    nodes.store_.step();
+    nodes.a_.ledger_.release(first);
+    nodes.store_.settle();
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::granted);
+}
+
+TEST_CASE("a kept claim stays in force after its call is over")
+{
+    two_nodes nodes;
+    const auto first = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    nodes.a_.ledger_.keep(first);
+    nodes.a_.ledger_.release(first);
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    const auto second = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(second) == claim_decision::duplicate);
+}
+
+TEST_CASE("a key with a creation time older than claims are kept is refused without asking the store")
+{
+    two_nodes nodes;
+    const auto old = nodes.a_.claim(uuid_v7(nodes.wall_clock_.now_ - 11min));
+    REQUIRE(nodes.a_.decisions_.at(old) == claim_decision::key_expired);
+    REQUIRE(nodes.store_.reads_ == 0);
+    const auto recent = nodes.a_.claim(uuid_v7(nodes.wall_clock_.now_ - 1min));
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(recent) == claim_decision::granted);
+}
+
+TEST_CASE("claims past their retention are removed by the next write")
+{
+    two_nodes nodes;
+    nodes.a_.claim("old");
+    nodes.store_.settle();
+    nodes.wall_clock_.now_ += 15min;
+    nodes.clock_.advance(1s);
+    nodes.a_.claim("new");
+    nodes.store_.settle();
+    const auto value = decode_claim_shard(nodes.store_.entries_.at("anvilpost/claims/0").first);
+    REQUIRE(value->entries_.size() == 1);
+}
+
+TEST_CASE("a shard that does not parse refuses claims and is left as it is")
+{
+    two_nodes nodes;
+    nodes.store_.entries_["anvilpost/claims/0"] = {"not cbor", 7};
+    const auto call = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.a_.decisions_.at(call) == claim_decision::store_unusable);
+    REQUIRE(nodes.store_.entries_.at("anvilpost/claims/0").first == "not cbor");
+}
+
+TEST_CASE("a write of unknown outcome is fenced before its given-up claim is forgotten")
+{
+    two_nodes nodes;
+    const auto given_up = nodes.a_.claim("renew-1");
+    nodes.store_.step();
+    nodes.store_.step(store_fault::delay_effect);
+    nodes.a_.ledger_.release(given_up);
+    nodes.store_.settle();
+    nodes.store_.land_delayed();
+    nodes.pause_and_wake();
+    nodes.store_.settle();
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::granted);
+}
+
+TEST_CASE("a stale read does not hide a claim that is to be removed")
+{
+    two_nodes nodes;
+    const auto first = nodes.a_.claim("renew-1");
+    nodes.store_.settle();
+    nodes.a_.ledger_.release(first);
+    nodes.pause_and_wake();
+    nodes.store_.step(store_fault::stale_read);
+    nodes.store_.settle();
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.settle();
+    REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::granted);
+}
+
+namespace {
+
+/// Gives up the oldest undecided call, as the engine does at its deadline.
+void give_up_oldest(ledger_bench& node)
+{
+    for (std::uint64_t i = 1; i < node.next_; ++i) {
+        const call_id call{i};
+        if (!node.decisions_.contains(call)) {
+            node.ledger_.release(call);
+            node.decisions_[call] = claim_decision::store_unusable;
+            return;
+        }
+    }
+}
+
+void take_step(two_nodes& nodes, int step)
+{
+    switch (step) {
+    case 0: nodes.a_.claim("key"); break;
+    case 1: nodes.b_.claim("key"); break;
+    case 2: nodes.store_.step(store_fault::refuse); break;
+    case 3: nodes.store_.step(store_fault::lose_answer); break;
+    case 4: nodes.store_.step(store_fault::lose_request); break;
+    case 5: nodes.store_.step(store_fault::delay_effect); break;
+    case 6: nodes.store_.step(store_fault::stale_read); break;
+    case 7: nodes.store_.land_delayed(); break;
+    case 8: nodes.pause_and_wake(); break;
+    case 9: give_up_oldest(nodes.a_); break;
+    case 10: give_up_oldest(nodes.b_); break;
+    default: nodes.store_.step(); break;
+    }
+}
+
+} // namespace
+
+TEST_CASE("no schedule of faults grants a key twice or loses a key for good")
+{
+    const bool held = rc::check("at most one grant per key, and one when the store is healthy again", [] {
+        two_nodes nodes;
+        const auto steps =
+            *rc::gen::container<std::vector<int>>(60, rc::gen::resize(100, rc::gen::inRange(0, 16)));
+        const auto grants = [&] {
+            return nodes.a_.ledger_.counters().granted_ + nodes.b_.ledger_.counters().granted_;
+        };
+        for (const int step : steps) {
+            take_step(nodes, step);
+            RC_ASSERT(grants() <= 1U);
+        }
+        for (int i = 0; i < 20; ++i) {
+            nodes.store_.settle();
+            nodes.store_.land_delayed();
+            nodes.pause_and_wake();
+        }
+        RC_ASSERT(nodes.a_.ledger_.abandoned() + nodes.b_.ledger_.abandoned() == 0U);
+        RC_ASSERT(nodes.a_.decisions_.size() == nodes.a_.next_ - 1);
+        RC_ASSERT(nodes.b_.decisions_.size() == nodes.b_.next_ - 1);
+        nodes.b_.claim("key");
+        nodes.store_.settle();
+        RC_ASSERT(grants() == 1U);
+    });
+    REQUIRE(held);
+}
