Intents proved: races, lost answers, moved bases and outages, with a mocked store and real nodes

Cause: the intent service had no tests of its failures. Change: trompeloeil mock of the store port for each outcome of a confirm; end-to-end tests with two nodes. Conclusion: a plan listing itself as applied is enough to resolve lost answers without any state on a node.

--- /dev/null
+++ b/tests/adapters/intent_service_test.cpp
@@ -0,0 +1,192 @@
+// Tests of intent, plan, confirm against a mocked store: lost answers, moved bases, outages.
+#include "adapters/operators/intent_service.h"
+
+#include "core/configuration_json.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace anvilpost;
+using nlohmann::json;
+using trompeloeil::_;
+
+namespace {
+
+class mock_store : public key_value_port {
+public:
+    MAKE_MOCK2(read, void(const std::string&, read_callback), override);
+    MAKE_MOCK4(watch, void(const std::string&, std::uint64_t, duration, read_callback), override);
+    MAKE_MOCK4(write_if, void(const std::string&, const std::string&, std::uint64_t, write_callback),
+               override);
+};
+
+json desk_intent()
+{
+    return {
+        {"changes",
+         {{{"change", "put_service"},
+           {"service", "desk"},
+           {"value",
+            {{"hosts", {"desk.example"}}, {"upstreams", {{"u1", {{"ip", "10.0.0.1"}, {"port", 80}}}}}}}}}}};
+}
+
+json remove_intent()
+{
+    return {{"changes", {{{"change", "remove_service"}, {"service", "desk"}}}}};
+}
+
+plan desk_plan()
+{
+    return derive_plan(parse_intent(desk_intent()), {});
+}
+
+std::string confirm_body(const plan& reviewed)
+{
+    return json{{"base_revision", reviewed.base_revision_}, {"intent", reviewed.intent_document_}}.dump();
+}
+
+stored_value stored(const configuration& config, std::uint64_t version)
+{
+    return {store_status::ok, to_json(config).dump(), version};
+}
+
+const stored_value nothing_stored{store_status::not_found, "", 0};
+const stored_value store_down{store_status::unavailable, "", 0};
+
+struct confirm_bench {
+    api_answer confirm(const plan& reviewed)
+    {
+        api_answer answer{0, nullptr};
+        service_.confirm(reviewed.id_, confirm_body(reviewed), [&](const api_answer& got) { answer = got; });
+        return answer;
+    }
+
+    mock_store store_;
+    intent_service service_{store_};
+};
+
+} // namespace
+
+TEST_CASE("stating an intent reads the store and writes nothing")
+{
+    confirm_bench bench;
+    REQUIRE_CALL(bench.store_, read(configuration_key, _)).SIDE_EFFECT(_2(nothing_stored));
+    FORBID_CALL(bench.store_, write_if(_, _, _, _));
+    api_answer answer;
+    bench.service_.state_intent(desk_intent().dump(), [&](const api_answer& got) { answer = got; });
+    REQUIRE(answer.status_ == 200);
+    REQUIRE(answer.body_["plan"] == desk_plan().id_);
+}
+
+TEST_CASE("a confirm writes the plan's result on the version it read")
+{
+    confirm_bench bench;
+    std::string written;
+    REQUIRE_CALL(bench.store_, read(configuration_key, _)).SIDE_EFFECT(_2(nothing_stored));
+    REQUIRE_CALL(bench.store_, write_if(configuration_key, _, 0U, _))
+        .LR_SIDE_EFFECT(written = _2)
+        .SIDE_EFFECT(_4(store_status::ok));
+    const auto answer = bench.confirm(desk_plan());
+    REQUIRE(answer.status_ == 200);
+    REQUIRE(answer.body_["revision"] == 1);
+    REQUIRE(parse_configuration(json::parse(written)) == desk_plan().result_);
+}
+
+TEST_CASE("a confirm on a moved base changes nothing and answers with a new plan")
+{
+    confirm_bench bench;
+    configuration moved;
+    moved.revision_ = 5;
+    REQUIRE_CALL(bench.store_, read(_, _)).SIDE_EFFECT(_2(stored(moved, 9)));
+    FORBID_CALL(bench.store_, write_if(_, _, _, _));
+    const auto answer = bench.confirm(desk_plan());
+    REQUIRE(answer.status_ == 409);
+    REQUIRE(answer.body_["new_plan"]["base_revision"] == 5);
+}
+
+TEST_CASE("a confirm that loses the race to another operator is answered as moved")
+{
+    confirm_bench bench;
+    configuration moved;
+    moved.revision_ = 1;
+    trompeloeil::sequence order;
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(nothing_stored));
+    REQUIRE_CALL(bench.store_, write_if(_, _, 0U, _))
+        .IN_SEQUENCE(order)
+        .SIDE_EFFECT(_4(store_status::conflict));
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(stored(moved, 3)));
+    REQUIRE(bench.confirm(desk_plan()).status_ == 409);
+}
+
+TEST_CASE("a confirm whose write took effect though its answer was lost is answered as applied")
+{
+    confirm_bench bench;
+    trompeloeil::sequence order;
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(nothing_stored));
+    REQUIRE_CALL(bench.store_, write_if(_, _, _, _))
+        .IN_SEQUENCE(order)
+        .SIDE_EFFECT(_4(store_status::unknown));
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(stored(desk_plan().result_, 4)));
+    const auto answer = bench.confirm(desk_plan());
+    REQUIRE(answer.status_ == 200);
+    REQUIRE(answer.body_["revision"] == 1);
+}
+
+TEST_CASE("a confirm whose write was lost is written again")
+{
+    confirm_bench bench;
+    trompeloeil::sequence order;
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(nothing_stored));
+    REQUIRE_CALL(bench.store_, write_if(_, _, _, _))
+        .IN_SEQUENCE(order)
+        .SIDE_EFFECT(_4(store_status::unknown));
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(nothing_stored));
+    REQUIRE_CALL(bench.store_, write_if(_, _, _, _)).IN_SEQUENCE(order).SIDE_EFFECT(_4(store_status::ok));
+    REQUIRE(bench.confirm(desk_plan()).status_ == 200);
+}
+
+TEST_CASE("a confirm whose outcome cannot be found out says so")
+{
+    confirm_bench bench;
+    trompeloeil::sequence order;
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).SIDE_EFFECT(_2(nothing_stored));
+    REQUIRE_CALL(bench.store_, write_if(_, _, _, _))
+        .IN_SEQUENCE(order)
+        .SIDE_EFFECT(_4(store_status::unknown));
+    REQUIRE_CALL(bench.store_, read(_, _)).IN_SEQUENCE(order).TIMES(AT_LEAST(1)).SIDE_EFFECT(_2(store_down));
+    const auto answer = bench.confirm(desk_plan());
+    REQUIRE(answer.status_ == 503);
+    REQUIRE(answer.body_["detail"].get<std::string>().find("may take effect") != std::string::npos);
+}
+
+TEST_CASE("a confirm with the store down says that nothing was applied")
+{
+    confirm_bench bench;
+    REQUIRE_CALL(bench.store_, read(_, _)).SIDE_EFFECT(_2(store_down));
+    FORBID_CALL(bench.store_, write_if(_, _, _, _));
+    const auto answer = bench.confirm(desk_plan());
+    REQUIRE(answer.status_ == 503);
+    REQUIRE(answer.body_["detail"].get<std::string>().find("not applied") != std::string::npos);
+}
+
+TEST_CASE("a confirm repeated after later plans gives the same revision")
+{
+    confirm_bench bench;
+    const auto first = desk_plan();
+    const auto later = derive_plan(parse_intent(remove_intent()), first.result_);
+    REQUIRE_CALL(bench.store_, read(_, _)).SIDE_EFFECT(_2(stored(later.result_, 8)));
+    FORBID_CALL(bench.store_, write_if(_, _, _, _));
+    const auto answer = bench.confirm(first);
+    REQUIRE(answer.status_ == 200);
+    REQUIRE(answer.body_["revision"] == 1);
+}
+
+TEST_CASE("a confirm whose intent is not the plan's is refused")
+{
+    confirm_bench bench;
+    auto swapped = desk_plan();
+    swapped.intent_document_["changes"][0]["service"] = "other";
+    REQUIRE_CALL(bench.store_, read(_, _)).SIDE_EFFECT(_2(nothing_stored));
+    FORBID_CALL(bench.store_, write_if(_, _, _, _));
+    REQUIRE(bench.confirm(swapped).status_ == 422);
+}
--- /dev/null
+++ b/tests/end_to_end/intents_test.cpp
@@ -0,0 +1,112 @@
+// Intents with real nodes: racing operators, other nodes, lost answers, outages.
+#include "end_to_end/processes.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <future>
+
+using namespace anvilpost::testing;
+using nlohmann::json;
+
+namespace {
+
+json desk(const std::string& name, int port)
+{
+    return {{"changes",
+             {{{"change", "put_service"},
+               {"service", name},
+               {"value",
+                {{"hosts", {name + ".example"}},
+                 {"upstreams", {{"u1", {{"ip", "127.0.0.1"}, {"port", port}}}}}}}}}}};
+}
+
+http_answer state(const fleet& fleet, int node, const json& intent)
+{
+    return send(fleet.admin_port(node), "POST", "/v1/intents", intent.dump());
+}
+
+http_answer confirm(const fleet& fleet, int node, const json& plan)
+{
+    const json body{{"base_revision", plan["base_revision"]}, {"intent", plan["intent"]}};
+    return send(fleet.admin_port(node), "POST", "/v1/plans/" + plan["plan"].get<std::string>() + "/confirm",
+                body.dump());
+}
+
+} // namespace
+
+TEST_CASE("a plan made on one node can be confirmed on another and is then in force on both")
+{
+    fleet fleet(2, 1);
+    const auto plan = state(fleet, 0, desk("desk", fleet.upstream_port(0)));
+    REQUIRE(plan.status_ == 200);
+    REQUIRE(confirm(fleet, 1, plan.json_).status_ == 200);
+    for (int i = 0; i < 2; ++i) {
+        REQUIRE(eventually([&] { return fleet.status(i).value("revision", 0) == 1; }));
+    }
+    REQUIRE(confirm(fleet, 0, plan.json_).json_["revision"] == 1);
+}
+
+TEST_CASE("of two operators who confirm plans on the same base one is told that the base moved")
+{
+    fleet fleet(2, 1);
+    const auto first = state(fleet, 0, desk("desk", fleet.upstream_port(0)));
+    const auto second = state(fleet, 1, desk("log", fleet.upstream_port(0)));
+    auto a = std::async(std::launch::async, [&] { return confirm(fleet, 0, first.json_); });
+    auto b = std::async(std::launch::async, [&] { return confirm(fleet, 1, second.json_); });
+    const int statuses = a.get().status_ + b.get().status_;
+    REQUIRE(statuses == 200 + 409);
+    REQUIRE(send(fleet.admin_port(0), "GET", "/v1/configuration").json_["revision"] == 1);
+}
+
+TEST_CASE("a confirm whose store answer is lost is answered as applied and applied once")
+{
+    fleet fleet(1, 1);
+    const auto plan = state(fleet, 0, desk("desk", fleet.upstream_port(0)));
+    fleet.platform_faults({{"lose_write_answers", 1}});
+    const auto answer = confirm(fleet, 0, plan.json_);
+    REQUIRE(answer.status_ == 200);
+    REQUIRE(answer.json_["revision"] == 1);
+    REQUIRE(send(fleet.admin_port(0), "GET", "/v1/configuration").json_["revision"] == 1);
+}
+
+TEST_CASE("with the store down intents are answered with 503 and calls go on")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    fleet.platform_faults({{"down", "refuse"}});
+    const auto answer = state(fleet, 0, desk("log", 1));
+    REQUIRE(answer.status_ == 503);
+    REQUIRE(answer.body_.find("nothing was changed") != std::string::npos);
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(fleet.call("GET", "/").status_ == 200);
+    }
+    REQUIRE(fleet.status(0)["revision"] == 1);
+}
+
+TEST_CASE("an invalid intent is answered with each fault and its path")
+{
+    fleet fleet(1, 1);
+    const auto answer = state(
+        fleet, 0, {{"changes", {{{"change", "put_service"}, {"service", ""}, {"value", {{"hosts", 3}}}}}}});
+    REQUIRE(answer.status_ == 422);
+    REQUIRE(answer.json_["faults"].size() >= 2);
+    REQUIRE(answer.json_["faults"][0]["path"] == "/changes/0/service");
+}
+
+TEST_CASE("the tool's exit codes tell a done, a faulty and an unanswered request apart")
+{
+    fleet fleet(1, 1);
+    const std::string folder = ANVILPOST_BUILD_DIR;
+    std::ofstream(folder + "/good.json") << desk("desk", 9).dump();
+    std::ofstream(folder + "/bad.json") << json{{"changes", json::array()}}.dump();
+    const std::string node = "--node=127.0.0.1:" + std::to_string(fleet.admin_port(0));
+    const auto exit_code = [](std::vector<std::string> arguments) {
+        return child_process("src/anvilpostctl", std::move(arguments)).wait();
+    };
+    CHECK(exit_code({"intent", node, "--file=" + folder + "/good.json"}) == 0);
+    CHECK(exit_code({"intent", node, "--file=" + folder + "/bad.json"}) == 3);
+    CHECK(exit_code({"intent", node, "--file=" + folder + "/absent.json"}) == 2);
+    CHECK(exit_code({"intent", node, "--output=loud"}) == 2);
+    CHECK(exit_code({"status", "--node=127.0.0.1:1"}) == 5);
+    CHECK(exit_code({"leaving", node, "desk", "u1"}) == 3);
+}
