--- /dev/null
+++ b/src/adapters/mesh/websocket_session.cpp
@@ -0,0 +1,90 @@
+// The only source file that includes websocketpp; compiled as C++17. Uses its iostream transport, whose
+// input and output are handed over by the caller.
+#include "adapters/mesh/websocket_session.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace anvilpost {
+namespace {
+
+using server_endpoint = websocketpp::server<websocketpp::config::core>;
+using client_endpoint = websocketpp::client<websocketpp::config::core_client>;
+
+template <class Endpoint>
+class session : public websocket_session {
+public:
+    using connection_ptr = typename Endpoint::connection_ptr;
+
+    explicit session(websocket_callbacks callbacks) : callbacks_(std::move(callbacks))
+    {
+        endpoint_.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint_.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint_.set_max_message_size(max_message_bytes);
+        endpoint_.set_write_handler([this](websocketpp::connection_hdl, char const* bytes, size_t size) {
+            callbacks_.write_(bytes, size);
+            return websocketpp::lib::error_code();
+        });
+        endpoint_.set_open_handler([this](websocketpp::connection_hdl) {
+            open_ = true;
+            callbacks_.open_();
+        });
+        endpoint_.set_message_handler(
+            [this](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
+                callbacks_.message_(message->get_payload());
+            });
+        endpoint_.set_fail_handler([this](websocketpp::connection_hdl) { callbacks_.failed_(); });
+        endpoint_.set_close_handler([this](websocketpp::connection_hdl) { callbacks_.failed_(); });
+    }
+
+    ~session() override
+    {
+        // The library may call back from its destructors; nobody listens any more.
+        callbacks_ = {[](const char*, std::size_t) {}, [] {}, [](const std::string&) {}, [] {}};
+    }
+
+    void on_bytes(const char* bytes, std::size_t size) override
+    {
+        const connection_ptr alive = connection_;
+        alive->read_all(bytes, size);
+    }
+
+    void send(const std::string& message) override
+    {
+        if (open_) {
+            connection_->send(message, websocketpp::frame::opcode::binary);
+        }
+    }
+
+    websocket_callbacks callbacks_;
+    Endpoint endpoint_;
+    connection_ptr connection_;
+    bool open_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<websocket_session> websocket_session::make_server(websocket_callbacks callbacks)
+{
+    auto made = std::make_unique<session<server_endpoint>>(std::move(callbacks));
+    made->connection_ = made->endpoint_.get_connection();
+    made->connection_->start();
+    return made;
+}
+
+std::unique_ptr<websocket_session> websocket_session::make_client(const std::string& host,
+                                                                  websocket_callbacks callbacks)
+{
+    auto made = std::make_unique<session<client_endpoint>>(std::move(callbacks));
+    websocketpp::lib::error_code fault;
+    made->connection_ = made->endpoint_.get_connection("ws://" + host + "/mesh", fault);
+    if (fault) {
+        throw std::runtime_error("cannot make a WebSocket connection: " + fault.message());
+    }
+    made->endpoint_.connect(made->connection_);
+    return made;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/adapters/metrics/call_metrics.h
@@ -0,0 +1,60 @@
+// Latency statistics of one node on Boost.Accumulators, for the metrics endpoint.
+#pragma once
+
+#include "core/problem.h"
+#include "ports/call_observer.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <map>
+#include <string>
+
+namespace anvilpost {
+
+/// Collects per service since the node's start; counters per cause of refusal.
+class call_metrics : public call_observer {
+public:
+    void on_call_finished(const call_record& record) override;
+
+    /// Returns the Prometheus text format, version 0.0.4.
+    [[nodiscard]] std::string text() const;
+
+private:
+    using latency_statistics = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
+                                           boost::accumulators::tag::max,
+                                           boost::accumulators::tag::extended_p_square_quantile>>;
+
+    struct service_metrics {
+        service_metrics();
+
+        latency_statistics latency_ms_;
+        std::map<problem_kind, std::uint64_t> problems_;
+        std::map<int, std::uint64_t> status_classes_; ///< By first digit; 0 for callers that went away.
+        std::uint64_t attempts_ = 0;
+    };
+
+    std::map<std::string, service_metrics> services_;
+};
+
+/// Passes each record on to two observers.
+class observer_pair : public call_observer {
+public:
+    observer_pair(call_observer& first, call_observer& second) : first_(first), second_(second) {}
+
+    void on_call_finished(const call_record& record) override
+    {
+        first_.on_call_finished(record);
+        second_.on_call_finished(record);
+    }
+
+private:
+    call_observer& first_;
+    call_observer& second_;
+};
+
+} // namespace anvilpost
--- a/src/adapters/operators/admin_server.cpp
+++ b/src/adapters/operators/admin_server.cpp
@@ -100,6 +100,9 @@
     else if (path == "/v1/status") {
         answer(request, {200, views_.status_()});
     }
+    else if (path == "/v1/burn/local") {
+        answer(request, {200, views_.local_burn_()});
+    }
     else if (path == "/v1/burn") {
         views_.burn_(answer_later(request));
     }
--- a/src/adapters/operators/admin_server.h
+++ b/src/adapters/operators/admin_server.h
@@ -15,11 +15,13 @@
     std::function<bool()> ready_;
     std::function<nlohmann::json()> status_;
     std::function<std::string()> metrics_;
+    std::function<nlohmann::json()> local_burn_; ///< This node's own counts, for other nodes.
     std::function<void(std::function<void(const api_answer&)>)> burn_;
 };
 
 /// Routes:
-/// GET /live, GET /ready, GET /metrics, GET /v1/status, GET /v1/burn, GET /v1/configuration,
+/// GET /live, GET /ready, GET /metrics, GET /v1/status, GET /v1/burn, GET /v1/burn/local,
+/// GET /v1/configuration,
 /// POST /v1/intents, POST /v1/plans/{id}/confirm.
 class admin_server {
 public:
--- a/src/adapters/platform/consul_store.h
+++ b/src/adapters/platform/consul_store.h
@@ -22,6 +22,9 @@
     void write_if(const std::string& key, const std::string& text, std::uint64_t version,
                   write_callback done) override;
 
+    /// Counts a request to the platform that went past this class.
+    void count_call() { ++calls_; }
+
     /// Requests sent so far; the platform counts each, a waiting watch as one.
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
--- /dev/null
+++ b/src/core/burn_ledger.cpp
@@ -0,0 +1,222 @@
+// Minute slots, window sums and burn rates.
+#include "core/burn_ledger.h"
+
+#include "ports/clock_port.h"
+
+#include <algorithm>
+
+namespace anvilpost {
+namespace {
+
+constexpr double page_burn_rate = 14.4;
+constexpr double ticket_burn_rate = 6.0;
+
+std::string cause_of(const call_record& record)
+{
+    if (record.problem_) {
+        return std::string(name_of(*record.problem_)) + " (" + std::string(name_of(record.verdict_)) + ")";
+    }
+    if (record.upstream_.empty()) {
+        return "caller went away";
+    }
+    const std::string place = record.data_centre_.empty() ? "" : " in " + record.data_centre_;
+    return "upstream " + record.upstream_ + place;
+}
+
+void count_cause(std::map<std::string, std::uint64_t>& causes, const std::string& cause, std::size_t limit)
+{
+    const bool room = causes.size() < limit || causes.contains(cause);
+    ++causes[room ? cause : "other"];
+}
+
+void add_counts(std::map<std::string, std::uint64_t>& into, const std::map<std::string, std::uint64_t>& from)
+{
+    for (const auto& [cause, count] : from) {
+        into[cause] += count;
+    }
+}
+
+/// Share of bad calls in units of the share that the objective allows.
+double burn_rate(std::uint64_t bad, std::uint64_t calls, double target)
+{
+    if (calls == 0) {
+        return 0;
+    }
+    return static_cast<double>(bad) / static_cast<double>(calls) / (1 - target);
+}
+
+std::string largest(const std::map<std::string, std::uint64_t>& causes)
+{
+    const auto found = std::max_element(causes.begin(), causes.end(),
+                                        [](const auto& a, const auto& b) { return a.second < b.second; });
+    return found == causes.end() ? "" : found->first + " (" + std::to_string(found->second) + ")";
+}
+
+nlohmann::json describe_objective(const service_burn& sums, double target, std::uint64_t burn_tally::*bad,
+                                  const std::map<std::string, std::uint64_t>& causes)
+{
+    nlohmann::json rates;
+    std::map<burn_window, double> rate;
+    for (const auto& [window, name] : enum_names<burn_window>::table) {
+        const auto found = sums.windows_.find(window);
+        const burn_tally tally = found == sums.windows_.end() ? burn_tally{} : found->second;
+        rate[window] = burn_rate(tally.*bad, tally.calls_, target);
+        rates[std::string(name)] = rate[window];
+    }
+    const auto longest = sums.windows_.find(burn_window::six_hours);
+    const burn_tally all = longest == sums.windows_.end() ? burn_tally{} : longest->second;
+    const bool page =
+        rate[burn_window::five_minutes] > page_burn_rate && rate[burn_window::one_hour] > page_burn_rate;
+    const bool ticket = rate[burn_window::thirty_minutes] > ticket_burn_rate &&
+                        rate[burn_window::six_hours] > ticket_burn_rate;
+    return {{"target", target},   {"calls", all.calls_},
+            {"bad", all.*bad},    {"budget_left", 1 - rate[burn_window::six_hours]},
+            {"burn_rate", rates}, {"alert", page ? "page" : ticket ? "ticket" : ""},
+            {"causes", causes},   {"mostly_by", largest(causes)}};
+}
+
+} // namespace
+
+std::chrono::minutes length_of(burn_window window)
+{
+    switch (window) {
+    case burn_window::five_minutes: return std::chrono::minutes(5);
+    case burn_window::thirty_minutes: return std::chrono::minutes(30);
+    case burn_window::one_hour: return std::chrono::minutes(60);
+    case burn_window::six_hours: return std::chrono::minutes(360);
+    }
+    return {};
+}
+
+void service_burn::add(const service_burn& other)
+{
+    for (const auto& [window, tally] : other.windows_) {
+        windows_[window].add(tally);
+    }
+    add_counts(failed_by_, other.failed_by_);
+    add_counts(slow_by_, other.slow_by_);
+    probes_sent_ += other.probes_sent_;
+    probing_for_ = std::max(probing_for_, other.probing_for_);
+}
+
+std::int64_t burn_ledger::current_minute() const
+{
+    return std::chrono::duration_cast<std::chrono::minutes>(clock_.now().time_since_epoch()).count();
+}
+
+void burn_ledger::apply(const configuration& config)
+{
+    std::erase_if(services_, [&](const auto& entry) { return !config.services_.contains(entry.first); });
+    for (const auto& [name, service] : config.services_) {
+        services_[name].latency_objective_ = service.objective_.latency_;
+    }
+}
+
+void burn_ledger::on_call_finished(const call_record& record)
+{
+    const auto found = services_.find(record.service_);
+    if (found == services_.end()) {
+        return;
+    }
+    auto& slots = found->second;
+    const auto minute = current_minute();
+    auto& slot = slots.minutes_[static_cast<std::size_t>(minute) % minutes_kept];
+    if (slot.minute_ != minute) {
+        slot = {minute, {}};
+    }
+    const bool failed = record.status_ >= 500;
+    const bool slow = failed || record.latency_ > slots.latency_objective_;
+    slot.tally_.add({1, failed ? 1U : 0U, slow ? 1U : 0U});
+    if (!slow) {
+        return;
+    }
+    auto& causes = slots.causes_[static_cast<std::size_t>(minute / cause_period) % cause_periods_kept];
+    if (causes.period_ != minute / cause_period) {
+        causes = {minute / cause_period, {}, {}};
+    }
+    count_cause(causes.slow_, cause_of(record), max_causes);
+    if (failed) {
+        count_cause(causes.failed_, cause_of(record), max_causes);
+    }
+}
+
+std::map<std::string, service_burn> burn_ledger::report() const
+{
+    std::map<std::string, service_burn> sums;
+    const auto minute = current_minute();
+    for (const auto& [name, slots] : services_) {
+        auto& sum = sums[name];
+        for (const auto& [window, unused] : enum_names<burn_window>::table) {
+            auto& tally = sum.windows_[window];
+            for (const auto& slot : slots.minutes_) {
+                if (slot.minute_ > minute - length_of(window).count()) {
+                    tally.add(slot.tally_);
+                }
+            }
+        }
+        for (const auto& causes : slots.causes_) {
+            if (causes.period_ > minute / cause_period - static_cast<std::int64_t>(cause_periods_kept)) {
+                add_counts(sum.failed_by_, causes.failed_);
+                add_counts(sum.slow_by_, causes.slow_);
+            }
+        }
+    }
+    return sums;
+}
+
+nlohmann::json to_json(const std::map<std::string, service_burn>& report)
+{
+    nlohmann::json document = nlohmann::json::object();
+    for (const auto& [name, burn] : report) {
+        auto& entry = document[name];
+        for (const auto& [window, tally] : burn.windows_) {
+            entry["windows"][std::string(name_of(window))] = {tally.calls_, tally.failed_, tally.slow_};
+        }
+        entry["failed_by"] = burn.failed_by_;
+        entry["slow_by"] = burn.slow_by_;
+        entry["probes_sent"] = burn.probes_sent_;
+        entry["probing_for_s"] = burn.probing_for_.count();
+    }
+    return document;
+}
+
+std::map<std::string, service_burn> parse_burn_report(const nlohmann::json& document)
+{
+    std::map<std::string, service_burn> report;
+    for (const auto& [name, entry] : document.items()) {
+        auto& burn = report[name];
+        for (const auto& [window, tally] : entry.at("windows").items()) {
+            if (const auto known = value_named<burn_window>(window)) {
+                burn.windows_[*known] = {tally.at(0).get<std::uint64_t>(), tally.at(1).get<std::uint64_t>(),
+                                         tally.at(2).get<std::uint64_t>()};
+            }
+        }
+        burn.failed_by_ = entry.at("failed_by").get<std::map<std::string, std::uint64_t>>();
+        burn.slow_by_ = entry.at("slow_by").get<std::map<std::string, std::uint64_t>>();
+        burn.probes_sent_ = entry.at("probes_sent").get<std::uint64_t>();
+        burn.probing_for_ = std::chrono::seconds(entry.at("probing_for_s").get<std::int64_t>());
+    }
+    return report;
+}
+
+nlohmann::json describe_burn(const std::map<std::string, service_burn>& sums, const configuration& config)
+{
+    nlohmann::json services = nlohmann::json::object();
+    for (const auto& [name, service] : config.services_) {
+        const auto found = sums.find(name);
+        const service_burn burn = found == sums.end() ? service_burn{} : found->second;
+        const auto& objective = service.objective_;
+        const double seconds = std::max<double>(1, static_cast<double>(burn.probing_for_.count()));
+        services[name] = {{"availability", describe_objective(burn, objective.availability_,
+                                                              &burn_tally::failed_, burn.failed_by_)},
+                          {"latency", describe_objective(burn, objective.latency_share_, &burn_tally::slow_,
+                                                         burn.slow_by_)},
+                          {"probes",
+                           {{"sent", burn.probes_sent_},
+                            {"spent_per_second", static_cast<double>(burn.probes_sent_) / seconds},
+                            {"budget_per_second", service.policy_.probes_per_second_}}}};
+    }
+    return services;
+}
+
+} // namespace anvilpost
--- a/src/core/call_engine.cpp
+++ b/src/core/call_engine.cpp
@@ -215,11 +215,14 @@
     auto* upstream = service == nullptr ? nullptr : service->find(tried.upstream_);
     const auto latency = now() - tried.started_;
     if (upstream != nullptr) {
+        if (head.upstream_is_leaving_ && !upstream->leaving()) {
+            upstream->mark_leaving(leaving_source::upstream_itself);
+            if (on_leaving_) {
+                on_leaving_(tried.service_, tried.upstream_);
+            }
+        }
         if (head.status_ >= 500) {
             upstream->on_failure(std::max(latency, service->failure_penalty()), now());
-            if (head.upstream_is_leaving_) {
-                upstream->mark_leaving(leaving_source::upstream_itself);
-            }
         }
         else {
             upstream->on_answer(latency, head, now());
@@ -446,6 +449,22 @@
     serve_waiting(*state);
 }
 
+void call_engine::on_probe_finding(const std::string& service, const std::string& upstream, bool healthy)
+{
+    auto* state = find_service(service);
+    auto* tracker = state == nullptr ? nullptr : state->find(upstream);
+    if (tracker == nullptr) {
+        return;
+    }
+    if (healthy) {
+        tracker->on_success(now());
+    }
+    else {
+        tracker->on_failure(state->failure_penalty(), now());
+    }
+    serve_waiting(*state);
+}
+
 void call_engine::on_peer_strike(std::uint64_t fingerprint, const std::string& upstream)
 {
     suspects_.add_strike(fingerprint, upstream, now());
--- a/src/core/call_engine.h
+++ b/src/core/call_engine.h
@@ -65,6 +65,9 @@
     /// An upstream is known to be leaving.
     void on_upstream_leaving(const std::string& service, const std::string& upstream, leaving_source source);
 
+    /// A probe, by this node or another, found an upstream working or not.
+    void on_probe_finding(const std::string& service, const std::string& upstream, bool healthy);
+
     /// Another node saw a request break an upstream.
     void on_peer_strike(std::uint64_t fingerprint, const std::string& upstream);
 
@@ -81,6 +84,9 @@
     /// Called with each new strike, so that other nodes can be told.
     std::function<void(std::uint64_t fingerprint, const std::string& upstream)> on_strike_;
 
+    /// Called when an upstream's own answer says that it is leaving.
+    std::function<void(const std::string& service, const std::string& upstream)> on_leaving_;
+
     /// Called when `next_wakeup` moved to an earlier instant.
     std::function<void()> on_earlier_wakeup_;
 
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -86,6 +86,13 @@
     bool operator==(const service_config&) const = default;
 };
 
+/// Bounds that concern the fleet of nodes as a whole.
+struct fleet_config {
+    int max_nodes_ = 20; ///< Most nodes that run at the same time; probe budgets are shared among so many.
+
+    bool operator==(const fleet_config&) const = default;
+};
+
 /// A plan that is part of the configuration; lets a repeated confirm be recognised.
 struct applied_plan {
     std::string id_;
@@ -100,6 +107,7 @@
     static constexpr std::size_t applied_plans_kept = 64;
 
     std::uint64_t revision_ = 0;
+    fleet_config fleet_;
     std::map<std::string, service_config> services_;
     std::vector<applied_plan> applied_;
 
--- a/src/core/configuration_json.cpp
+++ b/src/core/configuration_json.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int max_timeout_ms = 3'600'000;
+constexpr int max_nodes = 10'000;
 constexpr int max_slots = 10'000;
 constexpr int max_connections = 1'000;
 constexpr int max_queue_length = 100'000;
@@ -124,6 +125,16 @@
     return service;
 }
 
+fleet_config parse_fleet(const nlohmann::json& document, const std::string& path,
+                         std::vector<field_fault>& faults)
+{
+    fleet_config fleet;
+    json_reader reader(document, path, faults);
+    reader.integer("max_nodes", fleet.max_nodes_, 1, max_nodes);
+    reader.finish();
+    return fleet;
+}
+
 void check_across_services(const configuration& config, std::vector<field_fault>& faults)
 {
     std::map<std::string, std::string> service_of_host;
@@ -152,6 +163,9 @@
     else {
         reader.fault("services", "must be an object of services by name");
     }
+    if (const auto* fleet = reader.child("fleet")) {
+        config.fleet_ = parse_fleet(*fleet, "/fleet", faults);
+    }
     if (const auto* applied = reader.child("applied"); applied != nullptr && applied->is_array()) {
         for (std::size_t i = 0; i < applied->size(); ++i) {
             applied_plan plan;
@@ -182,6 +196,11 @@
     return document;
 }
 
+nlohmann::json to_json(const fleet_config& fleet)
+{
+    return {{"max_nodes", fleet.max_nodes_}};
+}
+
 nlohmann::json to_json(const service_config& service)
 {
     nlohmann::json document;
@@ -211,6 +230,7 @@
 nlohmann::json to_json(const configuration& config)
 {
     nlohmann::json document{{"revision", config.revision_},
+                            {"fleet", to_json(config.fleet_)},
                             {"services", nlohmann::json::object()},
                             {"applied", nlohmann::json::array()}};
     for (const auto& [name, service] : config.services_) {
--- a/src/core/configuration_json.h
+++ b/src/core/configuration_json.h
@@ -19,11 +19,16 @@
 upstream_config parse_upstream(const nlohmann::json& document, const std::string& path,
                                std::vector<field_fault>& faults);
 
+/// Parses the fleet's bounds at JSON pointer `path`; faults are appended to `faults`.
+fleet_config parse_fleet(const nlohmann::json& document, const std::string& path,
+                         std::vector<field_fault>& faults);
+
 /// Appends the faults that concern more than one service, such as a host claimed twice.
 void check_across_services(const configuration& config, std::vector<field_fault>& faults);
 
 nlohmann::json to_json(const configuration& config);
 nlohmann::json to_json(const service_config& service);
 nlohmann::json to_json(const upstream_config& upstream);
+nlohmann::json to_json(const fleet_config& fleet);
 
 } // namespace anvilpost
--- a/src/core/intent.cpp
+++ b/src/core/intent.cpp
@@ -23,6 +23,16 @@
         reader.fault("change", "is required");
     }
     reader.named("change", wanted.kind_);
+    if (wanted.kind_ == change_kind::put_fleet) {
+        if (const auto* value = reader.child("value")) {
+            wanted.fleet_value_ = parse_fleet(*value, path + "/value", faults);
+        }
+        else {
+            reader.fault("value", "is required");
+        }
+        reader.finish();
+        return wanted;
+    }
     reader.required_text("service", wanted.service_);
     const bool names_upstream =
         wanted.kind_ != change_kind::put_service && wanted.kind_ != change_kind::remove_service;
@@ -63,6 +73,7 @@
     void apply(const change& wanted, const std::string& path)
     {
         switch (wanted.kind_) {
+        case change_kind::put_fleet: config_.fleet_ = wanted.fleet_value_; return;
         case change_kind::put_service: config_.services_[wanted.service_] = wanted.service_value_; return;
         case change_kind::remove_service:
             if (config_.services_.erase(wanted.service_) == 0) {
@@ -174,6 +185,7 @@
 std::vector<std::string> describe_differences(const configuration& before, const configuration& after)
 {
     std::vector<std::string> lines;
+    describe_changed_fields("fleet", to_json(before.fleet_), to_json(after.fleet_), lines);
     for (const auto& [name, service] : after.services_) {
         const auto old = before.services_.find(name);
         const service_config empty;
--- a/src/core/intent.h
+++ b/src/core/intent.h
@@ -13,16 +13,24 @@
 
 namespace anvilpost {
 
-enum class change_kind { put_service, remove_service, put_upstream, set_upstream_state, remove_upstream };
+enum class change_kind {
+    put_service,
+    remove_service,
+    put_upstream,
+    set_upstream_state,
+    remove_upstream,
+    put_fleet
+};
 
 template <>
 struct enum_names<change_kind> {
-    static constexpr std::array<std::pair<change_kind, std::string_view>, 5> table{{
+    static constexpr std::array<std::pair<change_kind, std::string_view>, 6> table{{
         {change_kind::put_service, "put_service"},
         {change_kind::remove_service, "remove_service"},
         {change_kind::put_upstream, "put_upstream"},
         {change_kind::set_upstream_state, "set_upstream_state"},
         {change_kind::remove_upstream, "remove_upstream"},
+        {change_kind::put_fleet, "put_fleet"},
     }};
 };
 
@@ -33,6 +41,7 @@
     std::string upstream_;
     service_config service_value_;
     upstream_config upstream_value_;
+    fleet_config fleet_value_;
     upstream_state state_ = upstream_state::active;
 };
 
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,129 @@
+// Heartbeat counters decide who is alive; rendezvous hashing decides who is chosen.
+#include "core/membership.h"
+
+#include "core/stable_hash.h"
+
+#include <algorithm>
+
+namespace anvilpost {
+namespace {
+
+std::uint64_t rank(const std::string& subject, const std::string& name)
+{
+    return stable_hash(subject + "\n" + name);
+}
+
+/// Keeps the `count` members that rank highest for `subject`.
+std::vector<member> highest_ranked(std::vector<member> members, const std::string& subject, std::size_t count)
+{
+    std::sort(members.begin(), members.end(), [&](const member& a, const member& b) {
+        return rank(subject, a.name_) > rank(subject, b.name_);
+    });
+    members.resize(std::min(members.size(), count));
+    return members;
+}
+
+} // namespace
+
+bool membership::hear(const member& said, time_point now)
+{
+    if (said.name_ == self_.name_) {
+        return false;
+    }
+    const auto found = entries_.find(said.name_);
+    if (found == entries_.end()) {
+        entries_[said.name_] = {said, now};
+        return true;
+    }
+    auto& known = found->second;
+    const bool newer =
+        said.incarnation_ > known.member_.incarnation_ ||
+        (said.incarnation_ == known.member_.incarnation_ && said.heartbeat_ > known.member_.heartbeat_);
+    if (!newer) {
+        return false;
+    }
+    known = {said, now};
+    return true;
+}
+
+void membership::forget_silent(time_point now)
+{
+    std::erase_if(entries_,
+                  [&](const auto& item) { return now - item.second.heard_ > settings_.forget_after_; });
+}
+
+bool membership::alive(const std::string& name, time_point now) const
+{
+    const auto found = entries_.find(name);
+    return found != entries_.end() && !found->second.member_.stopping_ &&
+           now - found->second.heard_ <= settings_.silent_after_;
+}
+
+std::vector<member> membership::live(time_point now) const
+{
+    std::vector<member> alive_members;
+    for (const auto& [name, item] : entries_) {
+        if (alive(name, now)) {
+            alive_members.push_back(item.member_);
+        }
+    }
+    return alive_members;
+}
+
+std::vector<member> membership::known() const
+{
+    std::vector<member> all;
+    for (const auto& [unused, item] : entries_) {
+        all.push_back(item.member_);
+    }
+    return all;
+}
+
+std::vector<member> membership::wanted_links(time_point now) const
+{
+    std::map<std::string, std::vector<member>> by_data_centre;
+    for (auto& candidate : live(now)) {
+        by_data_centre[candidate.data_centre_].push_back(std::move(candidate));
+    }
+    std::vector<member> wanted;
+    for (auto& [data_centre, members] : by_data_centre) {
+        const bool own = data_centre == self_.data_centre_;
+        const auto count = own ? settings_.links_in_data_centre_ : settings_.links_per_other_data_centre_;
+        for (auto& chosen : highest_ranked(std::move(members), self_.name_, count)) {
+            wanted.push_back(std::move(chosen));
+        }
+    }
+    return wanted;
+}
+
+bool membership::should_watch_store(time_point now) const
+{
+    std::size_t ahead = 0;
+    for (const auto& other : live(now)) {
+        const bool same_data_centre = other.data_centre_ == self_.data_centre_;
+        ahead += same_data_centre && rank("watch", other.name_) > rank("watch", self_.name_) ? 1 : 0;
+    }
+    return ahead < settings_.watchers_per_data_centre_;
+}
+
+bool membership::responsible_for(const std::string& subject, time_point now) const
+{
+    const auto others = live(now);
+    return std::none_of(others.begin(), others.end(), [&](const member& other) {
+        return rank(subject, other.name_) > rank(subject, self_.name_);
+    });
+}
+
+std::vector<member> membership::digest(std::size_t others, random_port& random) const
+{
+    std::vector<member> told{self_};
+    auto all = known();
+    while (others-- > 0 && !all.empty()) {
+        const auto index = random_below(random, all.size());
+        told.push_back(std::move(all[index]));
+        all.erase(all.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return told;
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/mesh_messages.cpp
@@ -0,0 +1,137 @@
+// CBOR form of the mesh messages. Short keys keep heartbeats small.
+#include "core/mesh_messages.h"
+
+namespace anvilpost {
+namespace {
+
+using nlohmann::json;
+
+json to_json(const member& value)
+{
+    return {{"n", value.name_},       {"i", value.incarnation_}, {"d", value.data_centre_},
+            {"a", value.mesh_ip_},    {"p", value.mesh_port_},   {"x", value.admin_ip_},
+            {"y", value.admin_port_}, {"h", value.heartbeat_},   {"r", value.revision_},
+            {"s", value.stopping_}};
+}
+
+member member_from(const json& value)
+{
+    return {value.at("n").get<std::string>(),   value.at("i").get<std::uint64_t>(),
+            value.at("d").get<std::string>(),   value.at("a").get<std::string>(),
+            value.at("p").get<std::uint16_t>(), value.at("x").get<std::string>(),
+            value.at("y").get<std::uint16_t>(), value.at("h").get<std::uint64_t>(),
+            value.at("r").get<std::uint64_t>(), value.at("s").get<bool>()};
+}
+
+struct encoder {
+    json operator()(const challenge_message& m) const { return {{"t", "challenge"}, {"nonce", m.nonce_}}; }
+    json operator()(const hello_message& m) const
+    {
+        return {{"t", "hello"}, {"nonce", m.nonce_}, {"proof", m.proof_}, {"from", to_json(m.sender_)}};
+    }
+    json operator()(const welcome_message& m) const
+    {
+        return {{"t", "welcome"}, {"proof", m.proof_}, {"from", to_json(m.sender_)}};
+    }
+    json operator()(const heartbeat_message& m) const
+    {
+        json members = json::array();
+        for (const auto& told : m.members_) {
+            members.push_back(to_json(told));
+        }
+        return {{"t", "heartbeat"}, {"m", members}};
+    }
+    json operator()(const configuration_request_message& m) const
+    {
+        return {{"t", "want"}, {"newer_than", m.newer_than_}};
+    }
+    json operator()(const configuration_message& m) const
+    {
+        return {{"t", "configuration"}, {"doc", m.document_}};
+    }
+    json operator()(const leaving_message& m) const
+    {
+        return {
+            {"t", "leaving"}, {"service", m.service_}, {"upstream", m.upstream_}, {"inc", m.incarnation_}};
+    }
+    json operator()(const strike_message& m) const
+    {
+        return {{"t", "strike"}, {"print", m.fingerprint_}, {"upstream", m.upstream_}};
+    }
+    json operator()(const finding_message& m) const
+    {
+        return {
+            {"t", "finding"}, {"service", m.service_}, {"upstream", m.upstream_}, {"healthy", m.healthy_}};
+    }
+};
+
+std::vector<member> members_from(const json& list)
+{
+    std::vector<member> members;
+    for (const auto& entry : list) {
+        members.push_back(member_from(entry));
+    }
+    return members;
+}
+
+mesh_message parse(const json& m)
+{
+    const auto type = m.at("t").get<std::string>();
+    if (type == "challenge") {
+        return challenge_message{m.at("nonce").get<std::string>()};
+    }
+    if (type == "hello") {
+        return hello_message{m.at("nonce").get<std::string>(), m.at("proof").get<std::string>(),
+                             member_from(m.at("from"))};
+    }
+    if (type == "welcome") {
+        return welcome_message{m.at("proof").get<std::string>(), member_from(m.at("from"))};
+    }
+    if (type == "heartbeat") {
+        return heartbeat_message{members_from(m.at("m"))};
+    }
+    if (type == "want") {
+        return configuration_request_message{m.at("newer_than").get<std::uint64_t>()};
+    }
+    if (type == "configuration") {
+        return configuration_message{m.at("doc")};
+    }
+    if (type == "leaving") {
+        return leaving_message{m.at("service").get<std::string>(), m.at("upstream").get<std::string>(),
+                               m.at("inc").get<std::string>()};
+    }
+    if (type == "strike") {
+        return strike_message{m.at("print").get<std::uint64_t>(), m.at("upstream").get<std::string>()};
+    }
+    if (type == "finding") {
+        return finding_message{m.at("service").get<std::string>(), m.at("upstream").get<std::string>(),
+                               m.at("healthy").get<bool>()};
+    }
+    throw std::runtime_error("unknown message type");
+}
+
+} // namespace
+
+std::string encode(const mesh_message& message)
+{
+    json document = std::visit(encoder{}, message);
+    document["v"] = mesh_version;
+    const auto bytes = json::to_cbor(document);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<mesh_message> decode_mesh_message(const std::string& bytes)
+{
+    const auto document = json::from_cbor(bytes, true, false);
+    if (!document.is_object() || document.value("v", json()) != mesh_version) {
+        return std::nullopt;
+    }
+    try {
+        return parse(document);
+    }
+    catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/core/probe_scheduler.cpp
@@ -0,0 +1,83 @@
+// Spacing of probes and the choice of what to probe.
+#include "core/probe_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvilpost {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration shortest_window = 60s;
+constexpr double probes_in_shortest_share = 2.0;
+constexpr duration idle_before_probe = 10s;
+constexpr double microseconds_per_second = 1'000'000.0;
+
+/// Calls show how a busy upstream does; only idle and failing ones need a probe.
+bool needs_probe(const upstream_tracker& upstream, time_point now)
+{
+    const bool idle = now - upstream.last_answer() > idle_before_probe;
+    return upstream.receives_calls() && upstream.in_flight() == 0 &&
+           (idle || upstream.consecutive_failures() > 0);
+}
+
+} // namespace
+
+duration probe_window(double probes_per_second, int max_nodes)
+{
+    const double seconds = probes_in_shortest_share * max_nodes / probes_per_second;
+    return std::max(shortest_window,
+                    duration(static_cast<duration::rep>(std::ceil(seconds * microseconds_per_second))));
+}
+
+/// A window of length W holds at most floor(W / interval) + 1 probes of one node; with
+/// interval = W / (W * share - 1) that is at most W * share.
+std::optional<duration> probe_interval(double probes_per_second, int max_nodes)
+{
+    if (probes_per_second <= 0) {
+        return std::nullopt;
+    }
+    const double window_s =
+        static_cast<double>(probe_window(probes_per_second, max_nodes).count()) / microseconds_per_second;
+    const double share = probes_per_second / max_nodes;
+    const double interval_s = window_s / (window_s * share - 1);
+    return duration(static_cast<duration::rep>(std::ceil(interval_s * microseconds_per_second)));
+}
+
+std::optional<probe_order> probe_scheduler::next(const service_state& service, const fleet_config& fleet,
+                                                 const membership& members, time_point now)
+{
+    const auto& policy = service.config().policy_;
+    const auto interval = probe_interval(policy.probes_per_second_, fleet.max_nodes_);
+    const auto last = last_probe_.try_emplace(service.name(), start_).first;
+    if (!interval || now - last->second < *interval) {
+        return std::nullopt;
+    }
+    if (members.live(now).size() + 1 > static_cast<std::size_t>(fleet.max_nodes_)) {
+        return std::nullopt;
+    }
+    const upstream_tracker* chosen = nullptr;
+    for (const auto& [name, upstream] : service.upstreams()) {
+        if (!needs_probe(*upstream, now) || !members.responsible_for(service.name() + "/" + name, now)) {
+            continue;
+        }
+        if (chosen == nullptr || upstream->last_answer() < chosen->last_answer()) {
+            chosen = upstream.get();
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    last->second = now;
+    ++sent_[service.name()];
+    const auto& hosts = service.config().hosts_;
+    return probe_order{service.name(),
+                       chosen->name(),
+                       chosen->config().ip_,
+                       chosen->config().port_,
+                       hosts.empty() ? "" : hosts.front(),
+                       policy.health_path_};
+}
+
+} // namespace anvilpost
--- a/src/core/upstream_tracker.cpp
+++ b/src/core/upstream_tracker.cpp
@@ -95,9 +95,6 @@
 {
     smooth(latency, now);
     on_success(now);
-    if (head.upstream_is_leaving_) {
-        mark_leaving(leaving_source::upstream_itself);
-    }
     if (head.load_) {
         others_in_flight_ = std::max(0.0, head.load_->in_flight_ - in_flight_);
         report_time_ = now;
--- /dev/null
+++ b/src/daemon/burn_collector.cpp
@@ -0,0 +1,79 @@
+// Fan-out over the nodes' admin interfaces.
+#include "daemon/burn_collector.h"
+
+#include "adapters/http/http_fetch.h"
+
+#include <memory>
+
+namespace anvilpost {
+namespace {
+
+constexpr duration peer_timeout = std::chrono::seconds(2);
+constexpr int http_ok = 200;
+
+struct collection {
+    std::map<std::string, service_burn> sums_;
+    std::vector<std::string> missing_;
+    std::size_t known_ = 1;
+    std::size_t outstanding_ = 0;
+    configuration config_;
+    std::function<void(const api_answer&)> done_;
+};
+
+void add_report(collection& into, const std::string& name, const fetch_result& result)
+{
+    try {
+        if (result.status_ != http_ok) {
+            throw std::runtime_error("no answer");
+        }
+        for (const auto& [service, burn] : parse_burn_report(nlohmann::json::parse(result.body_))) {
+            into.sums_[service].add(burn);
+        }
+    }
+    catch (const std::exception&) {
+        into.missing_.push_back(name);
+    }
+}
+
+void finish(const collection& collected)
+{
+    const auto heard = collected.known_ - collected.missing_.size();
+    collected.done_({http_ok,
+                     {{"nodes_known", collected.known_},
+                      {"nodes_heard", heard},
+                      {"nodes_missing", collected.missing_},
+                      {"coverage", static_cast<double>(heard) / static_cast<double>(collected.known_)},
+                      {"services", describe_burn(collected.sums_, collected.config_)}}});
+}
+
+} // namespace
+
+void collect_burn(event_loop& loop, const burn_sources& sources, std::function<void(const api_answer&)> done)
+{
+    auto collected = std::make_shared<collection>();
+    collected->sums_ = sources.local_();
+    collected->config_ = sources.configuration_();
+    collected->done_ = std::move(done);
+    const auto peers = sources.peers_();
+    collected->known_ += peers.size();
+    collected->outstanding_ = peers.size();
+    if (peers.empty()) {
+        finish(*collected);
+        return;
+    }
+    for (const auto& peer : peers) {
+        fetch_request request;
+        request.ip_ = peer.admin_ip_;
+        request.port_ = peer.admin_port_;
+        request.target_ = "/v1/burn/local";
+        request.timeout_ = peer_timeout;
+        fetch(loop, request, [collected, name = peer.name_](const fetch_result& result) {
+            add_report(*collected, name, result);
+            if (--collected->outstanding_ == 0) {
+                finish(*collected);
+            }
+        });
+    }
+}
+
+} // namespace anvilpost
--- /dev/null
+++ b/src/daemon/fleet_member.cpp
@@ -0,0 +1,193 @@
+// Wiring between the mesh agent, the follower, the engine and the prober.
+#include "daemon/fleet_member.h"
+
+#include "adapters/logging/json_log.h"
+#include "core/configuration_json.h"
+#include "core/vm_list.h"
+
+namespace anvilpost {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration direct_read_period = 5s;
+constexpr duration vm_list_period = 1s;
+constexpr duration probe_timeout = 1s;
+constexpr double shortest_jitter = 0.75;
+
+member describe_self(const daemon_settings& settings, std::uint64_t incarnation)
+{
+    return {settings.node_,
+            incarnation,
+            settings.data_centre_,
+            settings.mesh_.ip_,
+            settings.mesh_.port_,
+            settings.admin_.ip_,
+            settings.admin_.port_,
+            0,
+            0,
+            false};
+}
+
+} // namespace
+
+fleet_member::fleet_member(event_loop& loop, const clock_port& clock, random_port& random,
+                           const daemon_settings& settings, call_engine& engine,
+                           configuration_follower& follower, consul_store& store, std::uint64_t incarnation)
+    : loop_(loop), clock_(clock), random_(random), settings_(settings), engine_(engine), follower_(follower),
+      store_(store), transport_(loop),
+      agent_(clock, random, transport_, describe_self(settings, incarnation), make_handlers()),
+      probes_(clock.now()), tick_(loop, [this] { on_tick(); })
+{
+    transport_.attach(agent_);
+    std::vector<mesh_seed> seeds;
+    for (const auto& peer : settings.peers_) {
+        seeds.push_back({peer.ip_, peer.port_});
+    }
+    agent_.set_seeds(std::move(seeds));
+    engine_.on_strike_ = [this](std::uint64_t fingerprint, const std::string& upstream) {
+        agent_.spread_strike({fingerprint, upstream});
+    };
+    engine_.on_leaving_ = [this](const std::string& service, const std::string& upstream) {
+        const auto& config = engine_.services().at(service).config();
+        const auto found = config.upstreams_.find(upstream);
+        agent_.spread_leaving(
+            {service, upstream, found == config.upstreams_.end() ? "" : found->second.incarnation_});
+    };
+}
+
+mesh_handlers fleet_member::make_handlers()
+{
+    mesh_handlers handlers;
+    handlers.on_configuration_ = [this](const nlohmann::json& document) {
+        follower_.offer(document, configuration_source::peer);
+    };
+    handlers.configuration_ = [this] { return to_json(follower_.in_force()); };
+    handlers.on_leaving_ = [this](const leaving_message& notice) { leave(notice, leaving_source::peer); };
+    handlers.on_strike_ = [this](const strike_message& strike) {
+        engine_.on_peer_strike(strike.fingerprint_, strike.upstream_);
+    };
+    handlers.on_finding_ = [this](const finding_message& finding) {
+        engine_.on_probe_finding(finding.service_, finding.upstream_, finding.healthy_);
+    };
+    handlers.prove_ = [this](const std::string& nonce) {
+        return prove_secret(settings_.mesh_secret_, nonce);
+    };
+    handlers.on_refused_link_ = [](const std::string& reason) {
+        write_log(log_level::warning, "refused a mesh link", {{"reason", reason}});
+    };
+    return handlers;
+}
+
+void fleet_member::start()
+{
+    if (settings_.mesh_.port_ != 0) {
+        transport_.listen(settings_.mesh_.ip_, settings_.mesh_.port_);
+    }
+    on_tick();
+}
+
+void fleet_member::on_configuration(const configuration& config)
+{
+    agent_.announce_revision(config.revision_);
+}
+
+void fleet_member::on_tick()
+{
+    if (settings_.mesh_.port_ != 0) {
+        agent_.on_tick();
+    }
+    follow_store();
+    probe();
+    tick_.start(mesh_agent::tick_period);
+}
+
+/// A few nodes per data centre watch the store; the others hear from peers and read directly now and
+/// then, which bounds how late they can be when the mesh fails.
+void fleet_member::follow_store()
+{
+    const auto now = clock_.now();
+    const bool watches = !follower_.ready() || agent_.members().should_watch_store(now);
+    follower_.set_watching(watches);
+    if (!watches && now >= next_direct_read_) {
+        const double share = shortest_jitter + (1 - shortest_jitter) * random_unit(random_);
+        next_direct_read_ = now + duration(static_cast<duration::rep>(direct_read_period.count() * share));
+        follower_.read_once();
+    }
+    if (watches && now >= next_vm_list_) {
+        next_vm_list_ = now + vm_list_period;
+        poll_vm_list();
+    }
+}
+
+void fleet_member::poll_vm_list()
+{
+    fetch_request request;
+    request.ip_ = settings_.store_.ip_;
+    request.port_ = settings_.store_.port_;
+    request.target_ = "/v1/catalog/nodes";
+    request.timeout_ = 2s;
+    store_.count_call();
+    fetch(loop_, request, [this](const fetch_result& result) { on_vm_list(result); });
+}
+
+void fleet_member::on_vm_list(const fetch_result& result)
+{
+    constexpr int http_ok = 200;
+    if (result.status_ != http_ok) {
+        return;
+    }
+    const auto list = nlohmann::json::parse(result.body_, nullptr, false);
+    for (const auto& found : find_leaving(list, follower_.in_force())) {
+        leave({found.service_, found.upstream_, found.incarnation_}, leaving_source::vm_list);
+    }
+}
+
+bool fleet_member::in_configuration(const leaving_message& notice) const
+{
+    const auto& services = follower_.in_force().services_;
+    const auto service = services.find(notice.service_);
+    if (service == services.end()) {
+        return false;
+    }
+    const auto upstream = service->second.upstreams_.find(notice.upstream_);
+    return upstream != service->second.upstreams_.end() &&
+           upstream->second.incarnation_ == notice.incarnation_;
+}
+
+void fleet_member::leave(const leaving_message& notice, leaving_source source)
+{
+    if (!in_configuration(notice)) {
+        return;
+    }
+    engine_.on_upstream_leaving(notice.service_, notice.upstream_, source);
+    agent_.spread_leaving(notice);
+}
+
+void fleet_member::probe()
+{
+    for (const auto& [unused, service] : engine_.services()) {
+        const auto order = probes_.next(service, follower_.in_force().fleet_, agent_.members(), clock_.now());
+        if (!order) {
+            continue;
+        }
+        fetch_request request;
+        request.ip_ = order->ip_;
+        request.port_ = order->port_;
+        request.target_ = order->path_;
+        request.host_ = order->host_;
+        request.timeout_ = probe_timeout;
+        request.max_body_ = 64UL * 1024;
+        fetch(loop_, request,
+              [this, order = *order](const fetch_result& result) { on_probed(order, result); });
+    }
+}
+
+void fleet_member::on_probed(const probe_order& order, const fetch_result& result)
+{
+    const bool healthy = result.status_ >= 200 && result.status_ < 400;
+    engine_.on_probe_finding(order.service_, order.upstream_, healthy);
+    agent_.spread_finding({order.service_, order.upstream_, healthy});
+}
+
+} // namespace anvilpost
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -5,12 +5,15 @@
 #include "adapters/event/event_loop.h"
 #include "adapters/http/caller_server.h"
 #include "adapters/http/upstream_pool.h"
+#include "adapters/metrics/call_metrics.h"
 #include "adapters/operators/admin_server.h"
 #include "adapters/operators/intent_service.h"
 #include "adapters/platform/configuration_follower.h"
 #include "adapters/platform/consul_store.h"
+#include "core/burn_ledger.h"
 #include "core/call_engine.h"
 #include "core/claim_ledger.h"
+#include "daemon/fleet_member.h"
 #include "daemon/settings.h"
 
 namespace anvilpost {
@@ -54,22 +57,18 @@
     int run();
 
 private:
-    /// Forwards to the engine's observer once it exists.
-    class metrics_observer : public call_observer {
-    public:
-        void on_call_finished(const call_record& record) override;
-        std::uint64_t calls_ = 0;
-        std::uint64_t problems_ = 0;
-    };
-
     void on_configuration(const configuration& config);
     void on_terminate();
     void stop_accepting();
     void check_drained();
     void arm_wakeup();
     void on_wakeup();
+    admin_views make_views();
+    nlohmann::json service_status() const;
+    nlohmann::json fleet_status() const;
     nlohmann::json status() const;
     std::string metrics() const;
+    std::map<std::string, service_burn> local_burn() const;
 
     daemon_settings settings_;
     event_loop loop_;
@@ -80,12 +79,16 @@
     upstream_pool pool_;
     caller_server callers_;
     claim_ledger claims_;
-    metrics_observer observer_;
+    call_metrics metrics_;
+    burn_ledger burn_;
+    observer_pair observer_;
     call_engine engine_;
     configuration_follower follower_;
+    fleet_member fleet_;
     intent_service intents_;
     admin_server admin_;
     node_stage stage_ = node_stage::running;
+    time_point started_;
     time_point drain_deadline_{};
     timer notice_timer_;
     timer drain_timer_;
--- /dev/null
+++ b/tests/end_to_end/fleet_test.cpp
@@ -0,0 +1,204 @@
+// Several nodes acting together: configuration, leaving notices, quarantine, probes, replacement.
+#include "end_to_end/processes.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <set>
+
+using namespace anvilpost::testing;
+using nlohmann::json;
+
+namespace {
+
+bool all_have_revision(const fleet& fleet, int revision)
+{
+    for (int i = 0; i < static_cast<int>(fleet.nodes_.size()); ++i) {
+        if (fleet.status(i).value("revision", 0) != revision) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// True when every node has heard of every other one.
+bool meshed(const fleet& fleet)
+{
+    for (int i = 0; i < static_cast<int>(fleet.nodes_.size()); ++i) {
+        if (fleet.status(i)["other_nodes"].size() + 1 != fleet.nodes_.size()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+json set_state(const std::string& upstream, const std::string& state)
+{
+    return {{"change", "set_upstream_state"}, {"service", "desk"}, {"upstream", upstream}, {"state", state}};
+}
+
+} // namespace
+
+TEST_CASE("nodes that cannot reach the store take a new configuration from their peers")
+{
+    fleet fleet(4, 2);
+    fleet.put_desk();
+    const bool formed = eventually([&] { return meshed(fleet); });
+    INFO(fleet.status(0)["other_nodes"].dump() << fleet.status(3)["other_nodes"].dump());
+    REQUIRE(formed);
+    fleet.platform_faults({{"down", "refuse"}}, 1); // Nodes 1 and 3 use this front.
+    fleet.confirm(json::array({set_state("u0", "leaving")}));
+    REQUIRE(eventually([&] { return all_have_revision(fleet, 2); }, 14));
+}
+
+TEST_CASE("a new node starts from its peers while the store is down")
+{
+    fleet fleet(3, 1);
+    fleet.put_desk();
+    REQUIRE(eventually([&] { return meshed(fleet); }));
+    fleet.platform_faults({{"down", "refuse"}}, 0);
+    fleet.platform_faults({{"down", "refuse"}}, 1);
+    fleet.nodes_[2]->signal(SIGKILL);
+    fleet.nodes_[2]->wait();
+    fleet.start_node(2);
+    REQUIRE(eventually([&] { return send(fleet.admin_port(2), "GET", "/ready").status_ == 200; }));
+    REQUIRE(fleet.call("GET", "/", {}, 2).status_ == 200);
+}
+
+TEST_CASE("a node that can reach neither the store nor peers is live but not ready")
+{
+    fleet fleet(1, 1);
+    fleet.platform_faults({{"down", "refuse"}}, 0);
+    fleet.nodes_[0]->signal(SIGKILL);
+    fleet.nodes_[0]->wait();
+    fleet.start_node(0);
+    REQUIRE(eventually([&] { return send(fleet.admin_port(0), "GET", "/live").status_ == 200; }));
+    REQUIRE(send(fleet.admin_port(0), "GET", "/ready").status_ == 503);
+}
+
+TEST_CASE("an upstream that the VM list shows as leaving gets no new call on any node within 3 s")
+{
+    fleet fleet(3, 2);
+    fleet.put_desk();
+    REQUIRE(eventually([&] { return meshed(fleet); }));
+    const json list{{{"Node", "vm-0"},
+                     {"Address", "127.0.0.1"},
+                     {"Meta", {{"state", "leaving"}, {"port", std::to_string(fleet.upstream_port(0))}}}}};
+    send(fleet.platform_port(0), "PUT", "/stand-in/vms", list.dump());
+    REQUIRE(eventually(
+        [&] {
+            for (int i = 0; i < 3; ++i) {
+                if (!fleet.status(i)["services"]["desk"]["upstreams"]["u0"].value("leaving", false)) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        3));
+    for (int i = 0; i < 30; ++i) {
+        REQUIRE(fleet.call("GET", "/", {}, i % 3).json_["port"] == fleet.upstream_port(1));
+    }
+}
+
+TEST_CASE("what one node learns from an upstream's own signal reaches the others")
+{
+    fleet fleet(3, 2);
+    fleet.put_desk();
+    REQUIRE(eventually([&] { return meshed(fleet); }));
+    fleet.upstream_faults(0, {{"draining", true}});
+    REQUIRE(eventually([&] {
+        fleet.call("GET", "/", {}, 0);
+        return fleet.status(0)["services"]["desk"]["upstreams"]["u0"].value("leaving", false);
+    }));
+    REQUIRE(eventually(
+        [&] { return fleet.status(2)["services"]["desk"]["upstreams"]["u0"].value("leaving", false); }, 3));
+}
+
+TEST_CASE("a request that crashes upstreams takes down at most two however often it is sent again")
+{
+    fleet fleet(3, 6);
+    fleet.put_desk();
+    REQUIRE(eventually([&] { return meshed(fleet); }));
+    for (int i = 0; i < 12; ++i) {
+        fleet.call("POST", "/poison", {{"X-Stand-In", "crash"}}, i % 3);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    int lost = 0;
+    for (const auto& upstream : fleet.upstreams_) {
+        lost += upstream->running() ? 0 : 1;
+    }
+    REQUIRE(lost == 2);
+    REQUIRE(fleet.call("POST", "/poison", {{"X-Stand-In", "crash"}}, 1).status_ == 422);
+    REQUIRE(fleet.call("POST", "/other", {}, 1).status_ == 200);
+}
+
+TEST_CASE("a peer with a wrong secret is refused and learns nothing")
+{
+    fleet fleet(2, 1);
+    fleet.put_desk();
+    REQUIRE(eventually([&] { return meshed(fleet); }));
+    const std::string local = "127.0.0.1:";
+    child_process stranger("src/anvilpostd",
+                           {"--node=stranger", "--listen=" + local + std::to_string(fleet.call_port(9)),
+                            "--admin=" + local + std::to_string(fleet.admin_port(9)),
+                            "--store=" + local + "1", "--mesh=" + local + std::to_string(fleet.mesh_port(9)),
+                            "--mesh_secret=wrong", "--peers=" + local + std::to_string(fleet.mesh_port(0))});
+    REQUIRE(eventually([&] {
+        return send(fleet.admin_port(0), "GET", "/metrics").body_.find("mesh_links_refused_total 0") ==
+               std::string::npos;
+    }));
+    const auto view = send(fleet.admin_port(9), "GET", "/v1/status").json_;
+    REQUIRE(view["revision"] == 0);
+    REQUIRE(view["mesh_links"] == 0);
+    REQUIRE_FALSE(fleet.status(0)["other_nodes"].contains("stranger"));
+}
+
+TEST_CASE("bytes that are no mesh message close the link and change nothing")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const std::string upgrade =
+        "GET /mesh HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    REQUIRE(send_raw(fleet.mesh_port(0), upgrade).starts_with("HTTP/1.1 101"));
+    send_raw(fleet.mesh_port(0), upgrade + "\x82\x05hello");
+    const std::string masked_not_cbor = "\x82\x85\x01\x01\x01\x01hello";
+    send_raw(fleet.mesh_port(0), upgrade + masked_not_cbor);
+    REQUIRE(send(fleet.admin_port(0), "GET", "/metrics").body_.find("mesh_links_refused_total 1") !=
+            std::string::npos);
+    REQUIRE(send_raw(fleet.mesh_port(0), std::string(100'000, 'z')).find("101") == std::string::npos);
+    REQUIRE(fleet.status(0)["revision"] == 1);
+    REQUIRE(fleet.call("GET", "/").status_ == 200);
+}
+
+TEST_CASE("a stored configuration that does not parse or goes back is refused and the last good one stays")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    fleet.confirm(json::array({set_state("u0", "active")}));
+    const std::string key = "/v1/kv/anvilpost/configuration";
+    send(fleet.platform_port(0), "PUT", key, R"({"revision":9,"services":{"desk":{"hosts":7}}})");
+    REQUIRE(eventually([&] { return !fleet.status(0).value("last_refused_configuration", "").empty(); }));
+    REQUIRE(fleet.status(0)["revision"] == 2);
+    send(fleet.platform_port(0), "PUT", key, R"({"revision":1,"services":{}})");
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    REQUIRE(fleet.status(0)["revision"] == 2);
+    REQUIRE(fleet.call("GET", "/").status_ == 200);
+}
+
+TEST_CASE("the burn report adds up all nodes and names the one that is missing")
+{
+    fleet fleet(3, 1);
+    fleet.put_desk();
+    REQUIRE(eventually([&] { return meshed(fleet); }));
+    for (int i = 0; i < 30; ++i) {
+        fleet.call("GET", "/", {}, i % 3);
+    }
+    auto report = send(fleet.admin_port(0), "GET", "/v1/burn").json_;
+    REQUIRE(report["nodes_heard"] == 3);
+    REQUIRE(report["services"]["desk"]["availability"]["calls"] == 30);
+    fleet.nodes_[2]->signal(SIGKILL);
+    fleet.nodes_[2]->wait();
+    report = send(fleet.admin_port(0), "GET", "/v1/burn").json_;
+    REQUIRE(report["nodes_missing"] == json{"entry-2"});
+    REQUIRE(report["coverage"].get<double>() == Approx(2.0 / 3));
+}
