--- /dev/null
+++ b/bench/fleet-lib.sh
@@ -0,0 +1,86 @@
+# Functions to run a fleet on loopback for measurements. Sourced by the scripts in this folder.
+# Everything listens on 127.0.0.1 and ends with the script.
+set -euo pipefail
+here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+build=${BUILD_DIR:-$here/../build}
+pids=()
+stop_fleet() {
+    [ ${#pids[@]} -eq 0 ] || kill "${pids[@]}" 2>/dev/null || true
+    wait 2>/dev/null || true
+    pids=()
+}
+trap stop_fleet EXIT
+
+platform_port=18500
+call_port() { echo $((18600 + $1)); }
+admin_port() { echo $((18700 + $1)); }
+mesh_port() { echo $((18800 + $1)); }
+upstream_port() { echo $((18900 + $1)); }
+
+start_platform() {
+    "$build/testing/platform_stand_in" --ports=$platform_port,$((platform_port + 1)) &
+    pids+=($!)
+}
+
+# start_upstreams COUNT SLOTS SERVICE_MS [flags...]
+start_upstreams() {
+    local count=$1 slots=$2 service=$3 i
+    shift 3
+    for ((i = 0; i < count; i++)); do
+        "$build/testing/upstream_stand_in" --port="$(upstream_port $i)" --slots="$slots" --service_ms="$service" \
+            --seed=$((i + 1)) "$@" &
+        pids+=($!)
+    done
+}
+
+# start_node INDEX [flags...]
+start_node() {
+    local i=$1
+    shift
+    "$build/src/anvilpostd" --node="entry-$i" --data_centre="dc-$((i % 3))" --listen="127.0.0.1:$(call_port "$i")" \
+        --admin="127.0.0.1:$(admin_port "$i")" --mesh="127.0.0.1:$(mesh_port "$i")" --mesh_secret=bench \
+        --peers="127.0.0.1:$(mesh_port 0),127.0.0.1:$(mesh_port 1)" --store=127.0.0.1:$platform_port \
+        --log=error --drain_notice_ms=100 "$@" &
+    pids+=($!)
+    node_pid[$i]=$!
+}
+declare -A node_pid
+
+# put_service UPSTREAMS POLICY_JSON: confirms service "desk" and waits until node 0 has it.
+put_service() {
+    local count=$1 policy=$2 upstreams="" i
+    for ((i = 0; i < count; i++)); do
+        upstreams+="${upstreams:+,}\"u$i\":{\"ip\":\"127.0.0.1\",\"port\":$(upstream_port $i),\"data_centre\":\"dc-$((i % 3))\"}"
+    done
+    local ctl=("$build/src/anvilpostctl" "--node=127.0.0.1:$(admin_port 0)")
+    until "${ctl[@]}" status >/dev/null 2>&1; do sleep 0.05; done
+    echo "{\"changes\":[{\"change\":\"put_service\",\"service\":\"desk\",\"value\":{\"hosts\":[\"desk.example\"],
+        \"policy\":$policy,\"upstreams\":{$upstreams}}}]}" |
+        "${ctl[@]}" intent --file=- --output=json | "${ctl[@]}" confirm --file=- >/dev/null
+}
+
+# wait_for_revision NODES REVISION
+wait_for_revision() {
+    local i
+    for ((i = 0; i < $1; i++)); do
+        until "$build/src/anvilpostctl" --node="127.0.0.1:$(admin_port $i)" status 2>/dev/null |
+            grep -q "revision $2,"; do sleep 0.05; done
+    done
+}
+
+# targets NODES: the load generator's list
+targets() {
+    local list="" i
+    for ((i = 0; i < $1; i++)); do list+="${list:+,}127.0.0.1:$(call_port $i)"; done
+    echo "$list"
+}
+
+# fault UPSTREAM JSON
+fault() { curl -s -X PUT -d "$2" "http://127.0.0.1:$(upstream_port "$1")/stand-in/faults" >/dev/null; }
+
+# metric NODE NAME: value of a counter of a node
+metric() { curl -s "http://127.0.0.1:$(admin_port "$1")/metrics" | awk -v n="anvilpost_$2" '$1 == n {print $2}'; }
+
+# cpu_seconds PID: user and system time so far
+cpu_seconds() { awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) / hz}' "/proc/$1/stat"; }
+resident_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
--- a/src/core/call_engine.cpp
+++ b/src/core/call_engine.cpp
@@ -465,6 +465,18 @@
     serve_waiting(*state);
 }
 
+void call_engine::set_owned_slots(const std::string& service, const std::map<std::string, int>& owned)
+{
+    auto* state = find_service(service);
+    if (state == nullptr) {
+        return;
+    }
+    for (const auto& [name, upstream] : state->upstreams()) {
+        const auto found = owned.find(name);
+        upstream->set_owned_slots(found == owned.end() ? 0 : found->second);
+    }
+}
+
 void call_engine::on_peer_strike(std::uint64_t fingerprint, const std::string& upstream)
 {
     suspects_.add_strike(fingerprint, upstream, now());
--- a/src/core/call_engine.h
+++ b/src/core/call_engine.h
@@ -68,6 +68,9 @@
     /// A probe, by this node or another, found an upstream working or not.
     void on_probe_finding(const std::string& service, const std::string& upstream, bool healthy);
 
+    /// Sets which slots this node owns; upstreams that are not in the map have none.
+    void set_owned_slots(const std::string& service, const std::map<std::string, int>& owned);
+
     /// Another node saw a request break an upstream.
     void on_peer_strike(std::uint64_t fingerprint, const std::string& upstream);
 
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -29,14 +29,15 @@
 };
 
 /// The rule by which a service chooses an upstream for a call. See docs/design/choosing-an-upstream.md.
-enum class picker_kind { least_in_flight_of_two, reported_load_of_two, expected_wait };
+enum class picker_kind { least_in_flight_of_two, reported_load_of_two, expected_wait, owned_slots };
 
 template <>
 struct enum_names<picker_kind> {
-    static constexpr std::array<std::pair<picker_kind, std::string_view>, 3> table{{
+    static constexpr std::array<std::pair<picker_kind, std::string_view>, 4> table{{
         {picker_kind::least_in_flight_of_two, "least_in_flight_of_two"},
         {picker_kind::reported_load_of_two, "reported_load_of_two"},
         {picker_kind::expected_wait, "expected_wait"},
+        {picker_kind::owned_slots, "owned_slots"},
     }};
 };
 
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -11,6 +11,7 @@
 #include <limits>
 #include <span>
 #include <variant>
+#include <vector>
 
 namespace anvilpost {
 
@@ -66,28 +67,60 @@
     }
 };
 
-/// Two random choices on the expected time to an answer: the wait for a slot plus the service time.
-/// Failures count as slow answers, so an upstream that fails fast attracts nothing.
+/// Expected time to an answer: the wait for a slot plus the service time. Failures count as slow
+/// answers, so an upstream that fails fast attracts nothing.
+inline double expected_time(const upstream_tracker& upstream, const pick_context& context)
+{
+    const auto latency = upstream.smoothed_latency(context.now_, context.typical_latency_);
+    const double load = upstream.estimated_load(context.now_) + 1.0;
+    const double turns = std::max(1.0, load / context.slots_);
+    const double idle_preference = load / (10.0 * context.slots_);
+    return static_cast<double>(latency.count() + 1) * (turns + idle_preference) / upstream.ramp(context.now_);
+}
+
+/// Two random choices on the expected time to an answer.
 struct expected_wait_picker {
     std::size_t pick(candidate_list candidates, const pick_context& context, random_port& random) const
     {
         return better_of_two(candidates, random, [&](const upstream_tracker& upstream) {
-            const auto latency = upstream.smoothed_latency(context.now_, context.typical_latency_);
-            const double load = upstream.estimated_load(context.now_) + 1.0;
-            const double turns = std::max(1.0, load / context.slots_);
-            const double idle_preference = load / (10.0 * context.slots_);
-            return static_cast<double>(latency.count() + 1) * (turns + idle_preference) /
-                   upstream.ramp(context.now_);
+            return expected_time(upstream, context);
         });
     }
 };
 
+/// Slots that this node owns come first, since no other node should be using them; when they are taken
+/// or their upstream is slow, two random choices on the expected time among all.
+struct owned_slots_picker {
+    static constexpr double slow_factor = 2.0;
+
+    std::size_t pick(candidate_list candidates, const pick_context& context, random_port& random) const
+    {
+        const double tolerated = slow_factor * static_cast<double>(context.typical_latency_.count());
+        std::vector<const upstream_tracker*> owned;
+        std::vector<std::size_t> positions;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const auto& upstream = *candidates[i];
+            const auto latency = upstream.smoothed_latency(context.now_, context.typical_latency_);
+            const bool fast = static_cast<double>(latency.count()) <= tolerated;
+            if (upstream.in_flight() < upstream.owned_slots() && fast) {
+                owned.push_back(&upstream);
+                positions.push_back(i);
+            }
+        }
+        if (owned.empty()) {
+            return expected_wait_picker{}.pick(candidates, context, random);
+        }
+        return positions[expected_wait_picker{}.pick(owned, context, random)];
+    }
+};
+
 static_assert(picker<least_in_flight_of_two_picker>);
 static_assert(picker<reported_load_of_two_picker>);
 static_assert(picker<expected_wait_picker>);
+static_assert(picker<owned_slots_picker>);
 
-using any_picker =
-    std::variant<least_in_flight_of_two_picker, reported_load_of_two_picker, expected_wait_picker>;
+using any_picker = std::variant<least_in_flight_of_two_picker, reported_load_of_two_picker,
+                                expected_wait_picker, owned_slots_picker>;
 
 /// Returns the rule that a kind names.
 inline any_picker make_picker(picker_kind kind)
@@ -96,6 +129,7 @@
     case picker_kind::least_in_flight_of_two: return least_in_flight_of_two_picker{};
     case picker_kind::reported_load_of_two: return reported_load_of_two_picker{};
     case picker_kind::expected_wait: return expected_wait_picker{};
+    case picker_kind::owned_slots: return owned_slots_picker{};
     }
     return least_in_flight_of_two_picker{};
 }
--- a/src/core/probe_scheduler.cpp
+++ b/src/core/probe_scheduler.cpp
@@ -45,13 +45,18 @@
     return duration(static_cast<duration::rep>(std::ceil(interval_s * microseconds_per_second)));
 }
 
+void probe_scheduler::on_finished(const std::string& service, time_point now)
+{
+    paces_[service] = {now, false};
+}
+
 std::optional<probe_order> probe_scheduler::next(const service_state& service, const fleet_config& fleet,
                                                  const membership& members, time_point now)
 {
     const auto& policy = service.config().policy_;
     const auto interval = probe_interval(policy.probes_per_second_, fleet.max_nodes_);
-    const auto last = last_probe_.try_emplace(service.name(), start_).first;
-    if (!interval || now - last->second < *interval) {
+    auto& own_pace = paces_.try_emplace(service.name(), pace{start_, false}).first->second;
+    if (!interval || own_pace.under_way_ || now - own_pace.last_end_ < *interval) {
         return std::nullopt;
     }
     if (members.live(now).size() + 1 > static_cast<std::size_t>(fleet.max_nodes_)) {
@@ -69,7 +74,7 @@
     if (chosen == nullptr) {
         return std::nullopt;
     }
-    last->second = now;
+    own_pace.under_way_ = true;
     ++sent_[service.name()];
     const auto& hosts = service.config().hosts_;
     return probe_order{service.name(),
--- a/src/core/probe_scheduler.h
+++ b/src/core/probe_scheduler.h
@@ -30,8 +30,9 @@
     std::string path_;
 };
 
-/// Invariant: `last_probe_` of a service starts at the node's start, so that a node that was just
-/// replaced does not probe at once.
+/// Invariants: a service has at most one probe under way; the pause before the next one starts at the
+/// end of the last one, so that a node paused between decision and probe cannot send two close together;
+/// the first pause starts at the node's start, so that a replaced node does not probe at once.
 class probe_scheduler {
 public:
     explicit probe_scheduler(time_point start) : start_(start) {}
@@ -40,12 +41,19 @@
     std::optional<probe_order> next(const service_state& service, const fleet_config& fleet,
                                     const membership& members, time_point now);
 
+    /// The probe of a service is over, with or without an answer.
+    void on_finished(const std::string& service, time_point now);
+
     /// Probes sent since the start, per service.
     [[nodiscard]] const std::map<std::string, std::uint64_t>& sent() const { return sent_; }
 
 private:
     time_point start_;
-    std::map<std::string, time_point> last_probe_;
+    struct pace {
+        time_point last_end_{};
+        bool under_way_ = false;
+    };
+    std::map<std::string, pace> paces_;
     std::map<std::string, std::uint64_t> sent_;
 };
 
--- a/src/core/upstream_tracker.h
+++ b/src/core/upstream_tracker.h
@@ -35,6 +35,10 @@
     void mark_unlisted() { listed_ = false; }
     void mark_leaving(leaving_source source);
 
+    /// Slots of the upstream that this node may count as its own; see slot_ownership.h.
+    void set_owned_slots(int count) { owned_slots_ = count; }
+    [[nodiscard]] int owned_slots() const { return owned_slots_; }
+
     void on_started() { ++in_flight_; }
     void on_ended() { --in_flight_; }
 
@@ -83,6 +87,7 @@
     bool listed_ = true;
     std::optional<leaving_source> sticky_leaving_;
     int in_flight_ = 0;
+    int owned_slots_ = 0;
     int consecutive_failures_ = 0;
     time_point ejected_until_{};
     time_point last_answer_{};
--- a/src/daemon/fleet_member.cpp
+++ b/src/daemon/fleet_member.cpp
@@ -3,6 +3,7 @@
 
 #include "adapters/logging/json_log.h"
 #include "core/configuration_json.h"
+#include "core/slot_ownership.h"
 #include "core/vm_list.h"
 
 namespace anvilpost {
@@ -90,6 +91,7 @@
 void fleet_member::on_configuration(const configuration& config)
 {
     agent_.announce_revision(config.revision_);
+    divide_slots();
 }
 
 void fleet_member::on_tick()
@@ -98,6 +100,7 @@
         agent_.on_tick();
     }
     follow_store();
+    divide_slots();
     probe();
     tick_.start(mesh_agent::tick_period);
 }
@@ -164,6 +167,28 @@
     agent_.spread_leaving(notice);
 }
 
+/// Divides anew when nodes came or went or the configuration changed.
+void fleet_member::divide_slots()
+{
+    std::vector<slot_owner> owners{{settings_.node_, settings_.data_centre_}};
+    for (const auto& other : agent_.members().live(clock_.now())) {
+        owners.push_back({other.name_, other.data_centre_});
+    }
+    std::vector<std::string> names;
+    for (const auto& owner : owners) {
+        names.push_back(owner.name_);
+    }
+    const auto& config = follower_.in_force();
+    if (names == divided_among_ && config.revision_ == divided_revision_) {
+        return;
+    }
+    divided_among_ = std::move(names);
+    divided_revision_ = config.revision_;
+    for (const auto& [name, service] : config.services_) {
+        engine_.set_owned_slots(name, own_slots(name, service, owners, settings_.node_));
+    }
+}
+
 void fleet_member::probe()
 {
     for (const auto& [unused, service] : engine_.services()) {
@@ -185,6 +210,7 @@
 
 void fleet_member::on_probed(const probe_order& order, const fetch_result& result)
 {
+    probes_.on_finished(order.service_, clock_.now());
     const bool healthy = result.status_ >= 200 && result.status_ < 400;
     engine_.on_probe_finding(order.service_, order.upstream_, healthy);
     agent_.spread_finding({order.service_, order.upstream_, healthy});
--- a/src/daemon/fleet_member.h
+++ b/src/daemon/fleet_member.h
@@ -37,6 +37,7 @@
     void poll_vm_list();
     void on_vm_list(const fetch_result& result);
     void leave(const leaving_message& notice, leaving_source source);
+    void divide_slots();
     void probe();
     void on_probed(const probe_order& order, const fetch_result& result);
     [[nodiscard]] bool in_configuration(const leaving_message& notice) const;
@@ -54,6 +55,8 @@
     timer tick_;
     time_point next_direct_read_{};
     time_point next_vm_list_{};
+    std::vector<std::string> divided_among_; ///< Names of the nodes at the last division.
+    std::uint64_t divided_revision_ = 0;
 };
 
 } // namespace anvilpost
--- /dev/null
+++ b/testing/scenario/main.cpp
@@ -0,0 +1,314 @@
+// Runs scenarios written in Lua against a world. usage: scenario FILE.lua
+// A file may hold several scenarios; each gets a world of its own. docs/scenarios.md describes the
+// language. Exit codes: 0 all expectations met, 1 one was not, 2 the file is wrong.
+#include "scenario/world.h"
+
+#include <iostream>
+#include <lua.hpp>
+#include <memory>
+#include <stdexcept>
+
+namespace anvilpost::testing {
+namespace {
+
+/// What the functions of one Lua state work on.
+struct runner_state {
+    std::unique_ptr<world> world_;
+    std::string scenario_;
+    int expectations_ = 0;
+    int failures_ = 0;
+};
+
+runner_state& state_of(lua_State* lua)
+{
+    return *static_cast<runner_state*>(lua_touserdata(lua, lua_upvalueindex(1)));
+}
+
+world& world_of(lua_State* lua)
+{
+    auto& state = state_of(lua);
+    if (!state.world_) {
+        luaL_error(lua, "declare a fleet first");
+    }
+    return *state.world_;
+}
+
+duration milliseconds(double count)
+{
+    return duration(static_cast<duration::rep>(count * 1000));
+}
+
+double number_field(lua_State* lua, int table, const char* name, double otherwise)
+{
+    lua_getfield(lua, table, name);
+    const double value = luaL_optnumber(lua, -1, otherwise);
+    lua_pop(lua, 1);
+    return value;
+}
+
+bool flag_field(lua_State* lua, int table, const char* name, bool otherwise)
+{
+    lua_getfield(lua, table, name);
+    const bool value = lua_isnil(lua, -1) ? otherwise : lua_toboolean(lua, -1) != 0;
+    lua_pop(lua, 1);
+    return value;
+}
+
+std::string text_field(lua_State* lua, int table, const char* name)
+{
+    lua_getfield(lua, table, name);
+    std::string value = luaL_optstring(lua, -1, "");
+    lua_pop(lua, 1);
+    return value;
+}
+
+/// fleet{nodes=, upstreams=, slots=, service_ms=, retry_share=, hedge_share=, queue_wait_ms=}
+int script_fleet(lua_State* lua)
+{
+    luaL_checktype(lua, 1, LUA_TTABLE);
+    world_settings settings;
+    settings.nodes_ = static_cast<int>(number_field(lua, 1, "nodes", 1));
+    settings.upstreams_ = static_cast<int>(number_field(lua, 1, "upstreams", 3));
+    settings.slots_ = static_cast<int>(number_field(lua, 1, "slots", 2));
+    settings.service_time_ = milliseconds(number_field(lua, 1, "service_ms", 10));
+    settings.policy_.retry_share_ = number_field(lua, 1, "retry_share", settings.policy_.retry_share_);
+    settings.policy_.hedge_share_ = number_field(lua, 1, "hedge_share", settings.policy_.hedge_share_);
+    settings.policy_.queue_wait_ = std::chrono::milliseconds(static_cast<int>(
+        number_field(lua, 1, "queue_wait_ms", static_cast<double>(settings.policy_.queue_wait_.count()))));
+    state_of(lua).world_ = std::make_unique<world>(settings);
+    return 0;
+}
+
+world_call read_call(lua_State* lua, int table)
+{
+    world_call wanted;
+    wanted.node_ = static_cast<int>(number_field(lua, table, "node", 0));
+    wanted.repeatable_ = flag_field(lua, table, "repeatable", true);
+    wanted.key_ = text_field(lua, table, "key");
+    wanted.crashes_upstreams_ = flag_field(lua, table, "crashes", false);
+    wanted.timeout_ = milliseconds(number_field(lua, table, "timeout_ms", 1000));
+    wanted.fingerprint_ = static_cast<std::uint64_t>(number_field(lua, table, "fingerprint", 0));
+    return wanted;
+}
+
+/// call{node=, repeatable=, key=, crashes=, timeout_ms=, fingerprint=} -> index
+int script_call(lua_State* lua)
+{
+    luaL_checktype(lua, 1, LUA_TTABLE);
+    lua_pushinteger(lua, static_cast<lua_Integer>(world_of(lua).send(read_call(lua, 1))));
+    return 1;
+}
+
+/// calls{every_ms=, from_ms=, to_ms=, nodes=, ...}: calls at even gaps, spread over the nodes in turn.
+int script_calls(lua_State* lua)
+{
+    luaL_checktype(lua, 1, LUA_TTABLE);
+    world& in = world_of(lua);
+    const double every = number_field(lua, 1, "every_ms", 10);
+    const double from = number_field(lua, 1, "from_ms", 0);
+    const double to = number_field(lua, 1, "to_ms", 1000);
+    const int nodes = static_cast<int>(number_field(lua, 1, "nodes", 1));
+    const world_call wanted = read_call(lua, 1);
+    int count = 0;
+    for (double when = from; when < to; when += every) {
+        world_call next = wanted;
+        next.node_ = count++ % nodes;
+        in.at(milliseconds(when), [&in, next] { in.send(next); });
+    }
+    return 0;
+}
+
+/// fault("u1", {slow=, fails=, silent=, down=, draining=}); an empty table heals.
+int script_fault(lua_State* lua)
+{
+    const std::string upstream = luaL_checkstring(lua, 1);
+    luaL_checktype(lua, 2, LUA_TTABLE);
+    upstream_condition condition;
+    condition.slow_ = number_field(lua, 2, "slow", 1);
+    condition.fails_ = flag_field(lua, 2, "fails", false);
+    condition.silent_ = flag_field(lua, 2, "silent", false);
+    condition.down_ = flag_field(lua, 2, "down", false);
+    condition.draining_ = flag_field(lua, 2, "draining", false);
+    world_of(lua).set_condition(upstream, condition);
+    return 0;
+}
+
+/// store("up" | "down" | "loses_answers" | "late_writes")
+int script_store(lua_State* lua)
+{
+    const auto condition = value_named<store_condition>(luaL_checkstring(lua, 1));
+    if (!condition) {
+        return luaL_error(lua, "unknown state of the store");
+    }
+    world_of(lua).set_store(*condition);
+    return 0;
+}
+
+int script_leave(lua_State* lua)
+{
+    world_of(lua).leave(luaL_checkstring(lua, 1));
+    return 0;
+}
+
+/// freeze(node), thaw(node)
+int script_freeze(lua_State* lua)
+{
+    world_of(lua).freeze(static_cast<int>(luaL_checkinteger(lua, 1)), true);
+    return 0;
+}
+
+int script_thaw(lua_State* lua)
+{
+    world_of(lua).freeze(static_cast<int>(luaL_checkinteger(lua, 1)), false);
+    return 0;
+}
+
+/// run(milliseconds)
+int script_run(lua_State* lua)
+{
+    world_of(lua).run(milliseconds(luaL_checknumber(lua, 1)));
+    return 0;
+}
+
+void push_outcome(lua_State* lua, const call_outcome& outcome)
+{
+    lua_createtable(lua, 0, 6);
+    const auto set_text = [&](const char* name, const std::string& value) {
+        lua_pushlstring(lua, value.data(), value.size());
+        lua_setfield(lua, -2, name);
+    };
+    set_text("key", outcome.key_);
+    set_text("upstream", outcome.upstream_);
+    set_text("problem", outcome.problem_);
+    set_text("verdict", outcome.verdict_);
+    lua_pushboolean(lua, outcome.over_ ? 1 : 0);
+    lua_setfield(lua, -2, "over");
+    lua_pushnumber(lua, static_cast<double>((outcome.answered_ - outcome.sent_).count()) / 1000);
+    lua_setfield(lua, -2, "latency_ms");
+}
+
+/// outcome(index) -> {key, upstream, problem, verdict, over, latency_ms}
+int script_outcome(lua_State* lua)
+{
+    const auto index = static_cast<std::size_t>(luaL_checkinteger(lua, 1));
+    const auto& outcomes = world_of(lua).outcomes();
+    if (index >= outcomes.size()) {
+        return luaL_error(lua, "no call with this index");
+    }
+    push_outcome(lua, outcomes[index]);
+    return 1;
+}
+
+/// outcomes() -> list of all outcomes
+int script_outcomes(lua_State* lua)
+{
+    const auto& outcomes = world_of(lua).outcomes();
+    lua_createtable(lua, static_cast<int>(outcomes.size()), 0);
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        push_outcome(lua, outcomes[i]);
+        lua_rawseti(lua, -2, static_cast<lua_Integer>(i) + 1);
+    }
+    return 1;
+}
+
+int script_executions(lua_State* lua)
+{
+    lua_pushinteger(lua, world_of(lua).executions(luaL_checkstring(lua, 1)));
+    return 1;
+}
+
+/// started_at("u1", from_ms, to_ms) -> number of requests that reached it
+int script_started_at(lua_State* lua)
+{
+    const std::string upstream = luaL_checkstring(lua, 1);
+    lua_pushinteger(lua, world_of(lua).started_at(upstream, milliseconds(luaL_checknumber(lua, 2)),
+                                                  milliseconds(luaL_checknumber(lua, 3))));
+    return 1;
+}
+
+int script_upstreams_down(lua_State* lua)
+{
+    lua_pushinteger(lua, world_of(lua).upstreams_down());
+    return 1;
+}
+
+/// expect(condition, message)
+int script_expect(lua_State* lua)
+{
+    auto& state = state_of(lua);
+    ++state.expectations_;
+    if (lua_toboolean(lua, 1) == 0) {
+        ++state.failures_;
+        std::cout << "FAILED " << state.scenario_ << ": " << luaL_optstring(lua, 2, "(no message)") << "\n";
+    }
+    return 0;
+}
+
+/// scenario(name, function)
+int script_scenario(lua_State* lua)
+{
+    auto& state = state_of(lua);
+    state.scenario_ = luaL_checkstring(lua, 1);
+    state.world_.reset();
+    const int before = state.failures_;
+    lua_pushvalue(lua, 2);
+    lua_call(lua, 0, 0);
+    std::cout << (state.failures_ == before ? "passed " : "failed ") << state.scenario_ << "\n";
+    return 0;
+}
+
+void add_functions(lua_State* lua, runner_state& state)
+{
+    const std::pair<const char*, lua_CFunction> functions[] = {
+        {"scenario", script_scenario},
+        {"fleet", script_fleet},
+        {"call", script_call},
+        {"calls", script_calls},
+        {"fault", script_fault},
+        {"store", script_store},
+        {"leave", script_leave},
+        {"freeze", script_freeze},
+        {"thaw", script_thaw},
+        {"run", script_run},
+        {"outcome", script_outcome},
+        {"outcomes", script_outcomes},
+        {"executions", script_executions},
+        {"started_at", script_started_at},
+        {"upstreams_down", script_upstreams_down},
+        {"expect", script_expect},
+    };
+    for (const auto& [name, function] : functions) {
+        lua_pushlightuserdata(lua, &state);
+        lua_pushcclosure(lua, function, 1);
+        lua_setglobal(lua, name);
+    }
+}
+
+int run_file(const char* file)
+{
+    runner_state state;
+    lua_State* lua = luaL_newstate();
+    luaL_openlibs(lua);
+    add_functions(lua, state);
+    const bool wrong = luaL_dofile(lua, file) != LUA_OK;
+    if (wrong) {
+        std::cout << "error: " << lua_tostring(lua, -1) << "\n";
+    }
+    lua_close(lua);
+    if (wrong || state.expectations_ == 0) {
+        return 2;
+    }
+    return state.failures_ == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace anvilpost::testing
+
+int main(int argc, char** argv)
+{
+    if (argc != 2) {
+        std::cerr << "usage: scenario FILE.lua\n";
+        return 2;
+    }
+    return anvilpost::testing::run_file(argv[1]);
+}
--- /dev/null
+++ b/testing/scenario/world.cpp
@@ -0,0 +1,456 @@
+// Fakes of the world and the loop that drives the cores through virtual time.
+#include "scenario/world.h"
+
+#include <algorithm>
+
+namespace anvilpost::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration network_delay = 500us;
+constexpr duration store_delay = 2ms;
+constexpr duration late_write_delay = 300ms;
+
+class split_mix : public random_port {
+public:
+    explicit split_mix(std::uint64_t seed) : state_(seed) {}
+    std::uint64_t next() override
+    {
+        state_ += 0x9e3779b97f4a7c15ULL;
+        std::uint64_t mixed = state_;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+        return mixed ^ (mixed >> 31U);
+    }
+
+private:
+    std::uint64_t state_;
+};
+
+} // namespace
+
+time_point virtual_time::next_event(time_point limit) const
+{
+    return events_.empty() ? limit : std::min(limit, events_.begin()->first);
+}
+
+void virtual_time::move_to(time_point to)
+{
+    now_ = std::max(now_, to);
+    while (!events_.empty() && events_.begin()->first <= now_) {
+        const auto event = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        event();
+    }
+}
+
+/// A worker with slots and a queue.
+class world::fake_upstream {
+public:
+    enum class end { answered, failed, crashed };
+    using done_function = std::function<void(end)>;
+
+    fake_upstream(virtual_time& time, int slots, duration service_time)
+        : time_(time), slots_(slots), service_time_(service_time)
+    {
+    }
+
+    void request(const std::string& key, bool crashes, done_function done)
+    {
+        started_.push_back(time_.now());
+        if (condition_.fails_) {
+            done(end::failed);
+            return;
+        }
+        waiting_.push_back({key, crashes, std::move(done)});
+        start_waiting();
+    }
+
+    upstream_condition condition_;
+    std::map<std::string, int> executions_;
+    std::vector<time_point> started_;
+
+private:
+    struct job {
+        std::string key_;
+        bool crashes_ = false;
+        done_function done_;
+    };
+
+    void start_waiting()
+    {
+        while (running_ < slots_ && !waiting_.empty()) {
+            auto next = std::make_shared<job>(std::move(waiting_.front()));
+            waiting_.pop_front();
+            ++running_;
+            ++executions_[next->key_];
+            running_jobs_.insert(next);
+            const duration length(static_cast<duration::rep>(service_time_.count() * condition_.slow_));
+            time_.after(length, [this, next] { finish(next); });
+        }
+    }
+
+    void finish(const std::shared_ptr<job>& ended)
+    {
+        if (!running_jobs_.erase(ended)) {
+            return;
+        }
+        --running_;
+        if (ended->crashes_) {
+            crash(ended);
+            return;
+        }
+        if (!condition_.silent_) {
+            ended->done_(end::answered);
+        }
+        start_waiting();
+    }
+
+    /// Everything in flight breaks with the crash.
+    void crash(const std::shared_ptr<job>& culprit)
+    {
+        condition_.down_ = true;
+        culprit->done_(end::crashed);
+        const auto running = std::move(running_jobs_);
+        const auto waiting = std::move(waiting_);
+        running_jobs_.clear();
+        waiting_.clear();
+        running_ = 0;
+        for (const auto& bystander : running) {
+            bystander->done_(end::crashed);
+        }
+        for (const auto& bystander : waiting) {
+            bystander.done_(end::crashed);
+        }
+    }
+
+    virtual_time& time_;
+    int slots_;
+    duration service_time_;
+    int running_ = 0;
+    std::deque<job> waiting_;
+    std::set<std::shared_ptr<job>> running_jobs_;
+};
+
+/// One node's view of the shared store. Operations take effect on time; their answers wait while the
+/// node is frozen.
+class world::world_store : public key_value_port {
+public:
+    using deliver_function = std::function<void(std::function<void()>)>;
+
+    world_store(world& in, deliver_function deliver) : in_(in), deliver_(std::move(deliver)) {}
+
+    void read(const std::string& key, read_callback done) override
+    {
+        in_.time_.after(store_delay, [this, key, done = std::move(done)] {
+            const stored_value value = look_up(key);
+            deliver_([done, value] { done(value); });
+        });
+    }
+
+    void watch(const std::string& key, std::uint64_t, duration, read_callback done) override
+    {
+        read(key, std::move(done));
+    }
+
+    void write_if(const std::string& key, const std::string& text, std::uint64_t version,
+                  write_callback done) override
+    {
+        in_.time_.after(store_delay, [this, key, text, version, done = std::move(done)] {
+            const store_status status = write(key, text, version);
+            deliver_([done, status] { done(status); });
+        });
+    }
+
+private:
+    [[nodiscard]] stored_value look_up(const std::string& key) const
+    {
+        if (in_.store_condition_ == store_condition::down) {
+            return {store_status::unavailable, "", 0};
+        }
+        const auto found = in_.stored_.find(key);
+        if (found == in_.stored_.end()) {
+            return {store_status::not_found, "", 0};
+        }
+        return {store_status::ok, found->second.first, found->second.second};
+    }
+
+    store_status write(const std::string& key, const std::string& text, std::uint64_t version)
+    {
+        switch (in_.store_condition_) {
+        case store_condition::down: return store_status::unavailable;
+        case store_condition::loses_answers: apply(key, text, version); return store_status::unknown;
+        case store_condition::late_writes:
+            in_.time_.after(late_write_delay, [this, key, text, version] { apply(key, text, version); });
+            return store_status::unknown;
+        case store_condition::up:
+            return apply(key, text, version) ? store_status::ok : store_status::conflict;
+        }
+        return store_status::unavailable;
+    }
+
+    bool apply(const std::string& key, const std::string& text, std::uint64_t version)
+    {
+        const auto found = in_.stored_.find(key);
+        const std::uint64_t current = found == in_.stored_.end() ? 0 : found->second.second;
+        if (current != version) {
+            return false;
+        }
+        in_.stored_[key] = {text, ++in_.stored_version_};
+        return true;
+    }
+
+    world& in_;
+    deliver_function deliver_;
+};
+
+/// A node: the real engine and ledger with ports into the world.
+class world::node : public upstream_port, public caller_port, public call_observer {
+public:
+    node(world& in, int index)
+        : in_(in), random_(static_cast<std::uint64_t>(index) + 1), store_(in),
+          ledger_(store_, in.time_, in.time_, static_cast<std::uint64_t>(index) + 1, {}),
+          engine_({in.time_, random_, *this, *this, ledger_, *this})
+    {
+        ledger_.on_decided(
+            [this](call_id call, claim_decision decision) { engine_.on_claim_decided(call, decision); });
+    }
+
+    void start(const attempt_order& order) override
+    {
+        orders_[order.attempt_] = order;
+        in_.time_.after(network_delay, [this, order] { arrive(order); });
+    }
+
+    void cancel(attempt_id attempt) override { orders_.erase(attempt); }
+
+    void reject(call_id call, const problem& why) override
+    {
+        auto& outcome = outcome_of(call);
+        outcome.problem_ = name_of(why.kind_);
+        outcome.verdict_ = name_of(why.verdict_);
+        outcome.answered_ = in_.time_.now();
+        outcome.over_ = true;
+    }
+
+    void relay(call_id call, attempt_id attempt) override
+    {
+        auto& outcome = outcome_of(call);
+        outcome.upstream_ = orders_.at(attempt).upstream_;
+        outcome.verdict_ = "ran";
+        outcome.answered_ = in_.time_.now();
+        outcome.over_ = true;
+    }
+
+    void abort(call_id call) override { outcome_of(call).problem_ = "aborted"; }
+    void on_call_finished(const call_record&) override {}
+
+    /// Runs `event` now, or when the node thaws.
+    void deliver(std::function<void()> event)
+    {
+        if (frozen_) {
+            held_.push_back(std::move(event));
+            return;
+        }
+        event();
+    }
+
+    void freeze(bool frozen)
+    {
+        frozen_ = frozen;
+        const auto due = std::move(held_);
+        held_.clear();
+        for (const auto& event : due) {
+            event();
+        }
+    }
+
+    void wake()
+    {
+        if (!frozen_) {
+            engine_.on_wakeup();
+            ledger_.on_wakeup();
+        }
+    }
+
+    [[nodiscard]] time_point next_wakeup(time_point limit) const
+    {
+        for (const auto& next : {engine_.next_wakeup(), ledger_.next_wakeup()}) {
+            if (next && !frozen_) {
+                limit = std::min(limit, *next);
+            }
+        }
+        return limit;
+    }
+
+    world& in_;
+    split_mix random_;
+    world_store store_;
+    claim_ledger ledger_;
+    call_engine engine_;
+    std::map<call_id, std::size_t> outcome_index_;
+    std::map<call_id, world_call> sent_;
+
+private:
+    call_outcome& outcome_of(call_id call) { return in_.outcomes_[outcome_index_.at(call)]; }
+
+    void arrive(const attempt_order& order)
+    {
+        auto& upstream = *in_.upstreams_.at(order.upstream_);
+        if (!orders_.contains(order.attempt_)) {
+            return;
+        }
+        if (upstream.condition_.down_) {
+            report(order.attempt_, attempt_outcome::not_sent, 0);
+            return;
+        }
+        const auto& wanted = sent_.at(order.call_);
+        upstream.request(wanted.key_, wanted.crashes_upstreams_, [this, order](fake_upstream::end end) {
+            const bool crashed = end == fake_upstream::end::crashed;
+            report(order.attempt_, crashed ? attempt_outcome::broken : attempt_outcome::complete,
+                   end == fake_upstream::end::failed ? 500 : 200);
+        });
+    }
+
+    void report(attempt_id attempt, attempt_outcome outcome, int status)
+    {
+        in_.time_.after(network_delay, [this, attempt, outcome, status] {
+            deliver([this, attempt, outcome, status] {
+                const auto found = orders_.find(attempt);
+                if (found == orders_.end()) {
+                    return;
+                }
+                if (outcome == attempt_outcome::complete) {
+                    const bool leaving = in_.upstreams_.at(found->second.upstream_)->condition_.draining_;
+                    engine_.on_answer_started(attempt, {status, leaving, std::nullopt});
+                }
+                if (orders_.erase(attempt) > 0) {
+                    engine_.on_attempt_ended(attempt, outcome);
+                }
+            });
+        });
+    }
+
+    std::map<attempt_id, attempt_order> orders_;
+    bool frozen_ = false;
+    std::deque<std::function<void()>> held_;
+};
+
+world::world(const world_settings& settings) : settings_(settings), start_(time_.now())
+{
+    configuration config;
+    config.revision_ = 1;
+    auto& service = config.services_["desk"];
+    service.hosts_ = {"desk.example"};
+    service.policy_ = settings.policy_;
+    service.policy_.slots_ = settings.slots_;
+    for (int i = 1; i <= settings.upstreams_; ++i) {
+        const std::string name = "u" + std::to_string(i);
+        upstreams_[name] = std::make_unique<fake_upstream>(time_, settings.slots_, settings.service_time_);
+        service.upstreams_[name] = {"10.0.0." + std::to_string(i), 80, "", "", upstream_state::active};
+    }
+    for (int i = 0; i < settings.nodes_; ++i) {
+        nodes_.push_back(std::make_unique<node>(*this, i));
+        nodes_.back()->engine_.apply(config);
+        nodes_.back()->engine_.on_strike_ = [this, i](std::uint64_t fingerprint,
+                                                      const std::string& upstream) {
+            for (std::size_t other = 0; other < nodes_.size(); ++other) {
+                if (other != static_cast<std::size_t>(i)) {
+                    time_.after(network_delay, [this, other, fingerprint, upstream] {
+                        nodes_[other]->engine_.on_peer_strike(fingerprint, upstream);
+                    });
+                }
+            }
+        };
+    }
+}
+
+world::~world() = default;
+
+void world::at(duration since_start, std::function<void()> event)
+{
+    time_.after(start_ + since_start - time_.now(), std::move(event));
+}
+
+void world::run(duration length)
+{
+    const time_point end = time_.now() + length;
+    while (time_.now() < end) {
+        time_point next = time_.next_event(end);
+        for (const auto& running : nodes_) {
+            next = running->next_wakeup(next);
+        }
+        time_.move_to(next);
+        wake_nodes();
+    }
+}
+
+void world::wake_nodes()
+{
+    for (const auto& running : nodes_) {
+        running->wake();
+    }
+}
+
+std::size_t world::send(const world_call& wanted)
+{
+    const std::size_t index = outcomes_.size();
+    outcomes_.push_back({wanted.key_, "", "", "", time_.now(), {}, false});
+    auto& at = *nodes_.at(static_cast<std::size_t>(wanted.node_));
+    call request;
+    request.id_ = call_id{index + 1};
+    request.service_ = "desk";
+    request.repeatable_ = wanted.repeatable_;
+    request.idempotency_key_ = wanted.repeatable_ ? "" : wanted.key_;
+    request.fingerprint_ = wanted.fingerprint_ != 0 ? wanted.fingerprint_ : 1'000'000 + index;
+    request.arrival_ = time_.now();
+    request.deadline_ = time_.now() + wanted.timeout_;
+    at.outcome_index_[request.id_] = index;
+    at.sent_[request.id_] = wanted;
+    at.deliver([&at, request] { at.engine_.on_call(request); });
+    return index;
+}
+
+void world::set_condition(const std::string& upstream, const upstream_condition& condition)
+{
+    upstreams_.at(upstream)->condition_ = condition;
+}
+
+void world::freeze(int index, bool frozen)
+{
+    nodes_.at(static_cast<std::size_t>(index))->freeze(frozen);
+}
+
+void world::leave(const std::string& upstream)
+{
+    for (const auto& running : nodes_) {
+        running->engine_.on_upstream_leaving("desk", upstream, leaving_source::vm_list);
+    }
+}
+
+int world::executions(const std::string& key) const
+{
+    int count = 0;
+    for (const auto& [unused, upstream] : upstreams_) {
+        const auto found = upstream->executions_.find(key);
+        count += found == upstream->executions_.end() ? 0 : found->second;
+    }
+    return count;
+}
+
+int world::started_at(const std::string& upstream, duration from, duration to) const
+{
+    const auto& started = upstreams_.at(upstream)->started_;
+    return static_cast<int>(std::count_if(started.begin(), started.end(), [&](time_point when) {
+        return when >= start_ + from && when < start_ + to;
+    }));
+}
+
+int world::upstreams_down() const
+{
+    return static_cast<int>(std::count_if(upstreams_.begin(), upstreams_.end(),
+                                          [](const auto& entry) { return entry.second->condition_.down_; }));
+}
+
+} // namespace anvilpost::testing
