Scenarios: a frozen node's store answers wait with it

Change: answers of the fake store go through the node's delivery, which waits while it is frozen. Measured: the scenario failed before (verdict ran, 1 execution during the pause) and passes now (not_run, 0 executions, and the released claim lets the next resend run).

--- a/testing/scenario/world.cpp
+++ b/testing/scenario/world.cpp
@@ -209,7 +209,8 @@
 class world::node : public upstream_port, public caller_port, public call_observer {
 public:
     node(world& in, int index)
-        : in_(in), random_(static_cast<std::uint64_t>(index) + 1), store_(in),
+        : in_(in), random_(static_cast<std::uint64_t>(index) + 1),
+          store_(in, [this](std::function<void()> event) { deliver(std::move(event)); }),
           ledger_(store_, in.time_, in.time_, static_cast<std::uint64_t>(index) + 1, {}),
           engine_({in.time_, random_, *this, *this, ledger_, *this})
     {
