Slot ownership becomes the default choice; rolling replacement and silent connections proved

Cause: with 15 nodes a node sees 1/15 of the load, so two random choices on what it knows leave p99 at 2.4 service times. Change: the slots of a service are divided among the live nodes by rendezvous order; a node uses its own slots first and two random choices on expected time for the rest. The rule on reported load alone is removed: a straggler whose reports say 0 drew calls to itself. Claim writes of all nodes are bounded together.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,127 @@
+#!/usr/bin/env python3
+"""Works out docs/CAPACITY.md's table from the measured slopes in bench/slopes.json.
+
+usage: bench/capacity.py            prints the table
+       bench/capacity.py --write    puts it into docs/CAPACITY.md between its markers
+"""
+
+import json
+import math
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+# The target, from the users' letter.
+WORKERS = 860
+SERVICES = 81
+CALLS_PER_SECOND = 130_000
+DATA_CENTRES = 9
+CHANGES_PER_DAY = 350
+CONTROL_CPU_PERCENT = 1.9
+CONTROL_MEMORY_MB = 128
+CONTROL_BYTES_PER_SECOND = 4_000
+ADDED_MS = 0.88
+CONNECTIONS_PER_WORKER = 200
+STORE_WRITES_PER_SECOND = 300
+STORE_READS_PER_SECOND = 2_000
+STORE_VALUE_BYTES = 1_000_000
+
+# Assumptions of ours.
+HIGHEST_UTILISATION = 0.5
+SECONDS_PER_DAY = 86_400
+WATCHERS_PER_DATA_CENTRE = 2
+DIRECT_READ_PERIOD_S = 4.4
+VM_LIST_PERIOD_S = 1.0
+CONNECTIONS_PER_NODE_AND_WORKER = 8
+CLAIM_SHARDS = 4
+CLAIM_RETENTION_S = 660
+CLAIM_WRITES_PER_SECOND = 240
+
+
+def line_through(points):
+    """Returns intercept, slope and the largest residual of the least-squares line."""
+    xs = [p[0] for p in points]
+    ys = [p[1] for p in points]
+    mean_x = sum(xs) / len(xs)
+    mean_y = sum(ys) / len(ys)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / sum((x - mean_x) ** 2 for x in xs)
+    intercept = mean_y - slope * mean_x
+    residual = max(abs(y - intercept - slope * x) for x, y in points)
+    return intercept, slope, residual
+
+
+def at(points, x):
+    intercept, slope, residual = line_through(points)
+    return intercept + slope * x, residual
+
+
+def work_out(slopes):
+    rows = []
+
+    def row(role, quantity, need, budget, unit, mechanism, uncertainty=""):
+        fits = "yes" if budget is None or need <= budget else "**no**"
+        shown_budget = "-" if budget is None else f"{budget:,.6g}"
+        rows.append(f"| {role} | {quantity} | {need:,.4g} {uncertainty}| {shown_budget} | {unit} | {fits} | {mechanism} |")
+
+    per_core = 1e6 / slopes["cpu_us_per_call"]
+    surviving = DATA_CENTRES - 1
+    per_data_centre = math.ceil(CALLS_PER_SECOND / surviving / (per_core * HIGHEST_UTILISATION))
+    nodes = per_data_centre * DATA_CENTRES
+    row("call path", "processor per call", slopes["cpu_us_per_call"], None, "us", "one loop, streaming by reference")
+    row("call path", "calls/s per core", per_core, None, "1/s", "")
+    row("call path", "nodes per data centre, one data centre lost, half busy", per_data_centre, None, "nodes", "any node serves any service")
+    row("call path", "nodes in all", nodes, None, "nodes", "")
+    row("call path", "added latency, 99 in 100, one hop", slopes["added_p99_ms"], ADDED_MS, "ms", "no lock, no hand-over between threads")
+    row("call path", "added latency, half of the calls, 13 hops", 13 * slopes["added_p50_ms"], None, "ms", "")
+    sharing = nodes * CONNECTIONS_PER_NODE_AND_WORKER
+    row("call path", "connections per worker if every node uses it", sharing, CONNECTIONS_PER_WORKER, "connections", "slot ownership concentrates use; no bound yet")
+
+    sent, residual = at(slopes["mesh_sent_bytes_per_node"], nodes)
+    received, _ = at(slopes["mesh_received_bytes_per_node"], nodes)
+    full_mesh_links = slopes["links_at_30_nodes_per_data_centre_10"]
+    row("mesh member", "bytes/s sent, straight line", sent, CONTROL_BYTES_PER_SECOND, "B/s", "links bounded per data centre", f"± {residual:.0f} ")
+    row("mesh member", "bytes/s sent and received", sent + received, CONTROL_BYTES_PER_SECOND, "B/s", f"links at 30 nodes: {full_mesh_links}")
+    per_change = slopes["configuration_cbor_bytes"] * 2
+    row("configuration follower", "bytes/s from changes, sent and received", CHANGES_PER_DAY * per_change / SECONDS_PER_DAY, CONTROL_BYTES_PER_SECOND, "B/s", "whole document to peers that ask")
+    row("configuration follower", "document in the store", slopes["configuration_json_bytes"], STORE_VALUE_BYTES, "B", "one value, one compare-and-swap")
+    row("configuration follower", "slowest of 15 nodes, store up", slopes["convergence_up_ms"] / 1000, 14, "s", "watch, then announcement on each link")
+    row("configuration follower", "slowest of 15 nodes, store down for half", slopes["convergence_half_down_ms"] / 1000, 14, "s", "peers")
+    row("configuration follower", "slowest of 15 nodes, store slow", slopes["convergence_slow_ms"] / 1000, 14, "s", "peers")
+    watchers = WATCHERS_PER_DATA_CENTRE * DATA_CENTRES
+    reads = watchers / VM_LIST_PERIOD_S + (nodes - watchers) / DIRECT_READ_PERIOD_S
+    row("watchers", "waiting watches", watchers, None, "watches", "two per data centre by rendezvous")
+    row("watchers", "store reads/s (VM list, direct reads)", reads, STORE_READS_PER_SECOND, "1/s", "")
+
+    control_cpu, residual = at(slopes["idle_cpu_percent_by_nodes"], nodes)
+    target_cpu = slopes["target_configuration_cpu_percent"] - slopes["idle_cpu_percent_by_nodes"][0][1]
+    row("all control", "processor, part of a core", control_cpu + max(0.0, target_cpu), CONTROL_CPU_PERCENT, "%", "heartbeats each second, ticks each half second", f"± {residual:.2f} ")
+    row("all control", "resident memory with the target's configuration", slopes["target_configuration_resident_kb"] / 1024, CONTROL_MEMORY_MB, "MB", "one document, one tracker per worker")
+
+    claims_held = CLAIM_SHARDS * 900_000 / slopes["claim_bytes"]
+    row("claim writer", "bytes per claim", slopes["claim_bytes"], None, "B", "CBOR, hashed key")
+    row("claim writer", "claims/s that the shards hold for the retention", claims_held / CLAIM_RETENTION_S, None, "1/s", "4 values of 0.9 MB, 11 minutes")
+    row("claim writer", "store writes/s at most, all nodes", CLAIM_WRITES_PER_SECOND, STORE_WRITES_PER_SECOND, "1/s", "shared among the live nodes")
+    row("claim writer", "longest wait of a claim for its node's next write", nodes * CLAIM_SHARDS / CLAIM_WRITES_PER_SECOND, 1, "s", "grouping; an isolated claim is written at once")
+    row("claim writer", "store writes per 1,000 claims at 1,000/s, 3 nodes", slopes["writes_per_1000_claims_at_1000"], None, "writes", "grouping")
+    row("prober", "probes/s per service", 1, 1, "1/s", "fixed shares; model/probes.pml")
+    row("intent API", "store writes/s", CHANGES_PER_DAY / SECONDS_PER_DAY, STORE_WRITES_PER_SECOND, "1/s", "one write per confirm")
+
+    head = "| role | quantity | need | budget | unit | fits | mechanism |\n|---|---|---|---|---|---|---|\n"
+    return head + "\n".join(rows) + "\n"
+
+
+def main():
+    table = work_out(json.loads((ROOT / "bench" / "slopes.json").read_text()))
+    if "--write" not in sys.argv:
+        print(table)
+        return
+    page = ROOT / "docs" / "CAPACITY.md"
+    text = page.read_text()
+    begin, end = "<!-- table: bench/capacity.py -->\n", "<!-- end of table -->"
+    head, rest = text.split(begin)
+    page.write_text(head + begin + table + end + rest.split(end)[1])
+
+
+if __name__ == "__main__":
+    main()
--- a/src/core/claim_ledger.cpp
+++ b/src/core/claim_ledger.cpp
@@ -148,12 +148,22 @@
     shard.removing_.clear();
     shard.write_unknown_ = false;
     shard.busy_ = false;
-    shard.next_write_ = clock_.now() + settings_.shortest_write_interval_;
+    shard.next_write_ = clock_.now() + write_interval();
     if (on_work_waiting_) {
         on_work_waiting_();
     }
 }
 
+/// Each node writes each shard at most this often, so that all nodes together stay within the bound. A
+/// claim that comes after a pause of this length is written at once.
+duration claim_ledger::write_interval() const
+{
+    constexpr double microseconds_per_second = 1'000'000.0;
+    const double writers = static_cast<double>(nodes_ * shards_.size());
+    return duration(
+        static_cast<duration::rep>(microseconds_per_second * writers / settings_.fleet_writes_per_second_));
+}
+
 void claim_ledger::prune(claim_shard& value) const
 {
     const auto oldest_kept = wall_clock_.since_epoch() - settings_.retention_ - clock_skew_allowance;
--- a/src/core/claim_ledger.h
+++ b/src/core/claim_ledger.h
@@ -10,6 +10,7 @@
 #include "ports/key_value_port.h"
 #include "ports/wall_clock_port.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -24,7 +25,7 @@
     std::size_t shards_ = 4;                     ///< Must be equal on all nodes.
     std::chrono::minutes retention_{10};         ///< Must be equal on all nodes.
     std::size_t max_shard_bytes_ = 900UL * 1024; ///< The store holds values of up to 1 MB.
-    duration shortest_write_interval_ = std::chrono::milliseconds(20); ///< Per shard and node.
+    double fleet_writes_per_second_ = 240;       ///< Bound on the claim writes of all nodes together.
 };
 
 struct claim_counters {
@@ -56,6 +57,10 @@
     void release(call_id call) override;
     void keep(call_id call) override;
 
+    /// Sets the number of nodes among which the writes per second are shared; a wrong number costs
+    /// writes or latency, never safety.
+    void set_nodes(std::size_t nodes) { nodes_ = std::max<std::size_t>(1, nodes); }
+
     /// Called when work waits for `next_wakeup`.
     std::function<void()> on_work_waiting_;
 
@@ -104,6 +109,7 @@
     void refuse_all(shard_state& shard);
     void settle(shard_state& shard, pending_claim& claim, claim_decision decision);
     void prune(claim_shard& value) const;
+    [[nodiscard]] duration write_interval() const;
     std::size_t shard_of(const claim_key& key) const { return key.high_ % shards_.size(); }
 
     key_value_port& store_;
@@ -119,6 +125,7 @@
     };
     std::unordered_map<call_id, held_claim> granted_; ///< Granted and neither kept nor released yet.
     std::uint64_t next_sequence_ = 1;
+    std::size_t nodes_ = 1;
     claim_counters counters_;
 };
 
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -29,13 +29,12 @@
 };
 
 /// The rule by which a service chooses an upstream for a call. See docs/design/choosing-an-upstream.md.
-enum class picker_kind { least_in_flight_of_two, reported_load_of_two, expected_wait, owned_slots };
+enum class picker_kind { least_in_flight_of_two, expected_wait, owned_slots };
 
 template <>
 struct enum_names<picker_kind> {
-    static constexpr std::array<std::pair<picker_kind, std::string_view>, 4> table{{
+    static constexpr std::array<std::pair<picker_kind, std::string_view>, 3> table{{
         {picker_kind::least_in_flight_of_two, "least_in_flight_of_two"},
-        {picker_kind::reported_load_of_two, "reported_load_of_two"},
         {picker_kind::expected_wait, "expected_wait"},
         {picker_kind::owned_slots, "owned_slots"},
     }};
@@ -63,7 +62,7 @@
 
 /// Policy of a service. Defaults suit a service with a few slots per worker.
 struct policy_config {
-    picker_kind picker_ = picker_kind::expected_wait;
+    picker_kind picker_ = picker_kind::owned_slots;
     std::chrono::milliseconds timeout_{10'000};   ///< Longest life of a call without a caller's deadline.
     std::chrono::milliseconds queue_wait_{1'000}; ///< Longest wait for a free upstream.
     int queue_length_ = 200;                      ///< Calls waiting per node; more are refused.
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -57,16 +57,6 @@
     }
 };
 
-/// Two random choices on the load that answers report, discounted by age.
-struct reported_load_of_two_picker {
-    std::size_t pick(candidate_list candidates, const pick_context& context, random_port& random) const
-    {
-        return better_of_two(candidates, random, [&](const upstream_tracker& upstream) {
-            return (upstream.estimated_load(context.now_) + 1.0) / upstream.ramp(context.now_);
-        });
-    }
-};
-
 /// Expected time to an answer: the wait for a slot plus the service time. Failures count as slow
 /// answers, so an upstream that fails fast attracts nothing.
 inline double expected_time(const upstream_tracker& upstream, const pick_context& context)
@@ -115,19 +105,16 @@
 };
 
 static_assert(picker<least_in_flight_of_two_picker>);
-static_assert(picker<reported_load_of_two_picker>);
 static_assert(picker<expected_wait_picker>);
 static_assert(picker<owned_slots_picker>);
 
-using any_picker = std::variant<least_in_flight_of_two_picker, reported_load_of_two_picker,
-                                expected_wait_picker, owned_slots_picker>;
+using any_picker = std::variant<least_in_flight_of_two_picker, expected_wait_picker, owned_slots_picker>;
 
 /// Returns the rule that a kind names.
 inline any_picker make_picker(picker_kind kind)
 {
     switch (kind) {
     case picker_kind::least_in_flight_of_two: return least_in_flight_of_two_picker{};
-    case picker_kind::reported_load_of_two: return reported_load_of_two_picker{};
     case picker_kind::expected_wait: return expected_wait_picker{};
     case picker_kind::owned_slots: return owned_slots_picker{};
     }
--- a/src/daemon/fleet_member.cpp
+++ b/src/daemon/fleet_member.cpp
@@ -33,10 +33,10 @@
 } // namespace
 
 fleet_member::fleet_member(event_loop& loop, const clock_port& clock, random_port& random,
-                           const daemon_settings& settings, call_engine& engine,
+                           const daemon_settings& settings, call_engine& engine, claim_ledger& claims,
                            configuration_follower& follower, consul_store& store, std::uint64_t incarnation)
-    : loop_(loop), clock_(clock), random_(random), settings_(settings), engine_(engine), follower_(follower),
-      store_(store), transport_(loop),
+    : loop_(loop), clock_(clock), random_(random), settings_(settings), engine_(engine), claims_(claims),
+      follower_(follower), store_(store), transport_(loop),
       agent_(clock, random, transport_, describe_self(settings, incarnation), make_handlers()),
       probes_(clock.now()), tick_(loop, [this] { on_tick(); })
 {
@@ -182,6 +182,7 @@
     if (names == divided_among_ && config.revision_ == divided_revision_) {
         return;
     }
+    claims_.set_nodes(names.size());
     divided_among_ = std::move(names);
     divided_revision_ = config.revision_;
     for (const auto& [name, service] : config.services_) {
--- a/src/daemon/fleet_member.h
+++ b/src/daemon/fleet_member.h
@@ -6,6 +6,7 @@
 #include "adapters/platform/configuration_follower.h"
 #include "adapters/platform/consul_store.h"
 #include "core/call_engine.h"
+#include "core/claim_ledger.h"
 #include "core/mesh_agent.h"
 #include "core/probe_scheduler.h"
 #include "daemon/settings.h"
@@ -16,8 +17,8 @@
 class fleet_member {
 public:
     fleet_member(event_loop& loop, const clock_port& clock, random_port& random,
-                 const daemon_settings& settings, call_engine& engine, configuration_follower& follower,
-                 consul_store& store, std::uint64_t incarnation);
+                 const daemon_settings& settings, call_engine& engine, claim_ledger& claims,
+                 configuration_follower& follower, consul_store& store, std::uint64_t incarnation);
     fleet_member(const fleet_member&) = delete;
     fleet_member& operator=(const fleet_member&) = delete;
     ~fleet_member() = default;
@@ -47,6 +48,7 @@
     random_port& random_;
     const daemon_settings& settings_;
     call_engine& engine_;
+    claim_ledger& claims_;
     configuration_follower& follower_;
     consul_store& store_;
     mesh_transport transport_;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -21,7 +21,7 @@
       callers_(loop_, clock_, settings.listen_.ip_, settings.listen_.port_, settings.limits_, settings.node_),
       claims_(store_, clock_, wall_clock_, random_.next(), {}), burn_(clock_), observer_(metrics_, burn_),
       engine_({clock_, random_, pool_, callers_, claims_, observer_}), follower_(loop_, store_, random_),
-      fleet_(loop_, clock_, random_, settings_, engine_, follower_, store_,
+      fleet_(loop_, clock_, random_, settings_, engine_, claims_, follower_, store_,
              static_cast<std::uint64_t>(wall_clock_.since_epoch().count())),
       intents_(store_), admin_(loop_, settings.admin_.ip_, settings.admin_.port_, intents_, make_views()),
       started_(clock_.now()), notice_timer_(loop_, [this] { stop_accepting(); }),
--- /dev/null
+++ b/tests/end_to_end/replacement_test.cpp
@@ -0,0 +1,167 @@
+// All nodes replaced under load, with the store down in the middle; silent connections.
+#include "end_to_end/processes.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <mutex>
+#include <set>
+
+using namespace anvilpost::testing;
+using nlohmann::json;
+
+namespace {
+
+/// Callers that send one call after the other, each at a node that is ready, as the platform's balancer
+/// would choose it.
+class background_callers {
+public:
+    background_callers(fleet& target, int threads) : fleet_(target)
+    {
+        for (int i = 0; i < threads; ++i) {
+            threads_.emplace_back([this, i] { run(i); });
+        }
+    }
+    background_callers(const background_callers&) = delete;
+    background_callers& operator=(const background_callers&) = delete;
+    ~background_callers() { stop(); }
+
+    void stop()
+    {
+        stopping_ = true;
+        for (auto& thread : threads_) {
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+    }
+
+    std::atomic<int> served_{0};
+    std::atomic<int> cut_off_{0};    ///< Neither a whole answer nor a refused connection.
+    std::atomic<int> untruthful_{0}; ///< Told "not run" though it ran.
+
+private:
+    void run(int index)
+    {
+        int next = index;
+        while (!stopping_) {
+            const int node = next++ % static_cast<int>(fleet_.nodes_.size());
+            if (send(fleet_.admin_port(node), "GET", "/ready").status_ != 200) {
+                continue;
+            }
+            const std::string key = "c" + std::to_string(index) + "-" + std::to_string(next);
+            const bool unrepeatable = next % 3 == 0;
+            const auto answer = unrepeatable ? fleet_.call("POST", "/", {{"Idempotency-Key", key}}, node)
+                                             : fleet_.call("GET", "/", {{"X-Echo", key}}, node);
+            if (answer.status_ == 200) {
+                ++served_;
+            }
+            else if (answer.status_ == 0) {
+                ++cut_off_;
+            }
+            else if (answer.verdict_ == "not_run" && unrepeatable && fleet_.executions(key) > 0) {
+                ++untruthful_;
+            }
+        }
+    }
+
+    fleet& fleet_;
+    std::atomic<bool> stopping_{false};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace
+
+TEST_CASE(
+    "replacing every node by planned stops under load cuts off no call, with the store down in the middle")
+{
+    fleet fleet(3, 3);
+    fleet.put_desk();
+    background_callers callers(fleet, 4);
+    REQUIRE(eventually([&] { return callers.served_ > 50; }));
+    for (int i = 0; i < 3; ++i) {
+        if (i == 1) {
+            fleet.platform_faults({{"down", "refuse"}}, 0);
+            fleet.platform_faults({{"down", "refuse"}}, 1);
+        }
+        fleet.nodes_[static_cast<std::size_t>(i)]->signal(SIGTERM);
+        REQUIRE(fleet.nodes_[static_cast<std::size_t>(i)]->wait() == 0);
+        fleet.start_node(i);
+        REQUIRE(eventually([&] { return send(fleet.admin_port(i), "GET", "/ready").status_ == 200; }));
+        if (i == 1) {
+            fleet.platform_faults(json::object(), 0);
+            fleet.platform_faults(json::object(), 1);
+        }
+    }
+    callers.stop();
+    INFO("served " << callers.served_);
+    REQUIRE(callers.cut_off_ == 0);
+    REQUIRE(callers.untruthful_ == 0);
+}
+
+TEST_CASE("killed nodes cost only calls in flight and tell nobody not run that ran")
+{
+    fleet fleet(3, 3);
+    fleet.put_desk();
+    background_callers callers(fleet, 4);
+    REQUIRE(eventually([&] { return callers.served_ > 50; }));
+    for (int i = 0; i < 3; ++i) {
+        fleet.nodes_[static_cast<std::size_t>(i)]->signal(SIGKILL);
+        fleet.nodes_[static_cast<std::size_t>(i)]->wait();
+        fleet.start_node(i);
+        REQUIRE(eventually([&] { return send(fleet.admin_port(i), "GET", "/ready").status_ == 200; }));
+    }
+    callers.stop();
+    INFO("served " << callers.served_ << ", cut off " << callers.cut_off_);
+    // Each caller has one call in flight; a kill can cut off at most one for each of the 4 callers.
+    REQUIRE(callers.cut_off_ <= 3 * 4);
+    REQUIRE(callers.untruthful_ == 0);
+}
+
+TEST_CASE(
+    "connections that have gone silent cost repeatable calls no full timeout and double no unrepeatable one")
+{
+    fleet fleet(1, 2);
+    fleet.put_desk({{"timeout_ms", 3000}, {"hedge_share", 0.5}});
+    for (int i = 0; i < 80; ++i) {
+        REQUIRE(fleet.call("GET", "/").status_ == 200);
+    }
+    fleet.upstream_faults(0, {{"silent", true}});
+    int slow = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto answer = fleet.call("GET", "/");
+        const auto took = std::chrono::steady_clock::now() - begin;
+        CHECK(answer.status_ == 200);
+        slow += took > std::chrono::milliseconds(2500) ? 1 : 0;
+    }
+    REQUIRE(slow == 0);
+    for (int i = 0; i < 10; ++i) {
+        const std::string key = "renew-" + std::to_string(i);
+        const auto answer = fleet.call("POST", "/", {{"Idempotency-Key", key}});
+        CHECK((answer.status_ == 200 || answer.verdict_ == "may_have_run"));
+        CHECK(fleet.executions(key) <= 1);
+    }
+}
+
+TEST_CASE("idle upstreams are probed and the probes stay within the budget of every window")
+{
+    // Budget 2/s for at most 2 nodes: one probe per node each 1.02 s.
+    fleet fleet(2, 2);
+    fleet.put_desk({{"probes_per_second", 2.0}});
+    fleet.confirm(json::array({{{"change", "put_fleet"}, {"value", {{"max_nodes", 2}}}}}));
+    const auto probes = [&] {
+        int sum = 0;
+        for (int i = 0; i < 2; ++i) {
+            const auto sent = send(fleet.admin_port(i), "GET", "/v1/burn/local").json_["desk"];
+            sum += sent.value("probes_sent", 0);
+        }
+        return sum;
+    };
+    const auto begin = std::chrono::steady_clock::now();
+    // An idle upstream needs a probe every 10 s, so a second one follows the first.
+    REQUIRE(eventually([&] { return probes() >= 2; }, 40));
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+    INFO("probes " << probes() << " in " << took.count() << " s");
+    REQUIRE(probes() <= 2.0 * took.count() + 2);
+}
