--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -34,12 +34,12 @@
     return command == EVHTTP_REQ_POST || command == EVHTTP_REQ_PUT || command == EVHTTP_REQ_PATCH;
 }
 
-/// Closes with a reset, so that a caller cannot take a cut-off answer for a whole one.
+/// Closes with a reset, so that a caller cannot take a cut-off answer for a whole one. Dissolving the
+/// association (connect to AF_UNSPEC) sends the reset before evhttp could send an orderly end.
 void reset_connection(evhttp_connection* connection)
 {
-    const linger at_once{1, 0};
-    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    const sockaddr nowhere{AF_UNSPEC, {}};
+    connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &nowhere, sizeof nowhere);
     evhttp_connection_free(connection);
 }
 
--- a/src/adapters/http/listener.cpp
+++ b/src/adapters/http/listener.cpp
@@ -88,7 +88,9 @@
 
 bufferevent* listener::make_stream()
 {
-    bufferevent* handle = bufferevent_socket_new(loop_.base(), -1, 0);
+    // The descriptor must live as long as the bufferevent: a descriptor closed earlier is reused by the
+    // next connection, whose events are then deleted together with this bufferevent's.
+    bufferevent* handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_incref(handle);
     auto made = std::make_unique<stream>(stream{*this, handle, 0, false});
     evbuffer_add_cb(
--- a/src/adapters/settings_source.cpp
+++ b/src/adapters/settings_source.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <iostream>
 #include <map>
 
 namespace anvilpost {
@@ -91,6 +92,14 @@
     return reading;
 }
 
+bool report_problems(const std::string& program, const std::vector<std::string>& problems)
+{
+    for (const auto& problem : problems) {
+        std::cerr << program << ": " << problem << "\n";
+    }
+    return problems.empty();
+}
+
 std::string describe_flags(const std::string& owner, const std::string& prefix)
 {
     std::string text;
--- a/src/adapters/settings_source.h
+++ b/src/adapters/settings_source.h
@@ -17,6 +17,9 @@
 /// variable is `<prefix>DRAIN_TIMEOUT`; flags go before variables.
 flag_reading read_flags(int argc, char** argv, const std::string& owner, const std::string& prefix);
 
+/// Prints the problems to standard error, each after the program's name. Returns true when there are none.
+bool report_problems(const std::string& program, const std::vector<std::string>& problems);
+
 /// Lists the flags of `owner` with their variables, defaults and help.
 std::string describe_flags(const std::string& owner, const std::string& prefix);
 
--- a/src/core/mesh_agent.cpp
+++ b/src/core/mesh_agent.cpp
@@ -8,11 +8,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration link_silence_limit = 4s;
+constexpr duration link_silence_limit = 6500ms;
 constexpr duration notice_memory = 10min;
 constexpr duration request_patience = 1s;
-constexpr std::size_t members_per_heartbeat = 3;
-constexpr std::uint64_t ticks_per_heartbeat = 2;
+constexpr std::size_t members_per_heartbeat = 2;
+constexpr std::uint64_t ticks_per_heartbeat = 4;
 constexpr std::uint64_t ticks_per_seed_contact = 4;
 constexpr std::size_t max_links = 64;
 constexpr std::size_t max_notices = 10'000;
--- a/src/core/mesh_messages.cpp
+++ b/src/core/mesh_messages.cpp
@@ -6,21 +6,21 @@
 
 using nlohmann::json;
 
+/// Members go as arrays in the order of their fields, since they make up most of the mesh's bytes.
 json to_json(const member& value)
 {
-    return {{"n", value.name_},       {"i", value.incarnation_}, {"d", value.data_centre_},
-            {"a", value.mesh_ip_},    {"p", value.mesh_port_},   {"x", value.admin_ip_},
-            {"y", value.admin_port_}, {"h", value.heartbeat_},   {"r", value.revision_},
-            {"s", value.stopping_}};
+    return json::array({value.name_, value.incarnation_, value.data_centre_, value.mesh_ip_, value.mesh_port_,
+                        value.admin_ip_, value.admin_port_, value.heartbeat_, value.revision_,
+                        value.stopping_});
 }
 
 member member_from(const json& value)
 {
-    return {value.at("n").get<std::string>(),   value.at("i").get<std::uint64_t>(),
-            value.at("d").get<std::string>(),   value.at("a").get<std::string>(),
-            value.at("p").get<std::uint16_t>(), value.at("x").get<std::string>(),
-            value.at("y").get<std::uint16_t>(), value.at("h").get<std::uint64_t>(),
-            value.at("r").get<std::uint64_t>(), value.at("s").get<bool>()};
+    return {value.at(0).get<std::string>(),   value.at(1).get<std::uint64_t>(),
+            value.at(2).get<std::string>(),   value.at(3).get<std::string>(),
+            value.at(4).get<std::uint16_t>(), value.at(5).get<std::string>(),
+            value.at(6).get<std::uint16_t>(), value.at(7).get<std::uint64_t>(),
+            value.at(8).get<std::uint64_t>(), value.at(9).get<bool>()};
 }
 
 struct encoder {
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -250,10 +250,7 @@
                                   ? "a sub-command is required; see 'anvilpostctl help'"
                                   : "'" + flags.positional_[0] + "': unknown sub-command");
     }
-    if (!problems.empty()) {
-        for (const auto& problem : problems) {
-            usage_fault(problem);
-        }
+    if (!report_problems("anvilpostctl", problems)) {
         return code(exit_code::wrong_usage);
     }
     return commands.at(flags.positional_[0])({flags.positional_.begin() + 1, flags.positional_.end()});
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 // Entry point of anvilpostd. Exit codes: 0 stopped with nothing cut off, 1 stopped with requests cut
 // off or failed to run, 2 wrong settings.
+#include "adapters/settings_source.h"
 #include "daemon/node.h"
 #include "daemon/settings.h"
 
@@ -14,10 +15,7 @@
         std::cout << anvilpost::settings_help();
         return 0;
     }
-    if (!reading.problems_.empty()) {
-        for (const auto& problem : reading.problems_) {
-            std::cerr << "anvilpostd: " << problem << "\n";
-        }
+    if (!anvilpost::report_problems("anvilpostd", reading.problems_)) {
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
--- a/testing/load/main.cpp
+++ b/testing/load/main.cpp
@@ -219,10 +219,7 @@
 int main(int argc, char** argv)
 {
     const auto flags = anvilpost::read_flags(argc, argv, "testing/load/main.cpp", "LOAD_");
-    for (const auto& problem : flags.problems_) {
-        std::cerr << problem << "\n";
-    }
-    if (!flags.problems_.empty()) {
+    if (!anvilpost::report_problems("load_generator", flags.problems_)) {
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
--- a/testing/platform/main.cpp
+++ b/testing/platform/main.cpp
@@ -10,7 +10,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <deque>
-#include <iostream>
 #include <map>
 #include <memory>
 #include <vector>
@@ -380,10 +379,7 @@
 int main(int argc, char** argv)
 {
     const auto flags = anvilpost::read_flags(argc, argv, "testing/platform/main.cpp", "STAND_IN_");
-    for (const auto& problem : flags.problems_) {
-        std::cerr << problem << "\n";
-    }
-    if (!flags.problems_.empty()) {
+    if (!anvilpost::report_problems("platform_stand_in", flags.problems_)) {
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
--- a/testing/scenario/world.h
+++ b/testing/scenario/world.h
@@ -77,6 +77,7 @@
     time_point sent_{};
     time_point answered_{};
     bool over_ = false;
+    int executions_ = 0; ///< How often an upstream ran this very call.
 };
 
 struct world_settings {
--- a/testing/upstream/main.cpp
+++ b/testing/upstream/main.cpp
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <deque>
-#include <iostream>
 #include <list>
 #include <map>
 #include <random>
@@ -319,10 +318,7 @@
 int main(int argc, char** argv)
 {
     const auto flags = anvilpost::read_flags(argc, argv, "testing/upstream/main.cpp", "STAND_IN_");
-    for (const auto& problem : flags.problems_) {
-        std::cerr << problem << "\n";
-    }
-    if (!flags.problems_.empty()) {
+    if (!anvilpost::report_problems("upstream_stand_in", flags.problems_)) {
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/end_to_end/at_most_once_test.cpp
+++ b/tests/end_to_end/at_most_once_test.cpp
@@ -92,3 +92,15 @@
     REQUIRE(resent.verdict_ == "may_have_run");
     REQUIRE(fleet.executions("renew-5") == 1);
 }
+
+TEST_CASE("hundreds of claims are granted one after the other while their shards grow")
+{
+    fleet fleet(2, 2);
+    fleet.put_desk();
+    for (int i = 0; i < 600; ++i) {
+        const auto answer =
+            fleet.call("POST", "/", {{"Idempotency-Key", "order-" + std::to_string(i)}}, i % 2);
+        INFO("order " << i << ": " << answer.status_ << " " << answer.body_);
+        REQUIRE(answer.status_ == 200);
+    }
+}
--- a/tests/end_to_end/call_path_test.cpp
+++ b/tests/end_to_end/call_path_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
 #include <future>
 
 using namespace anvilpost::testing;
@@ -199,3 +200,19 @@
         REQUIRE(fleet.call("GET", "/").json_["port"] != port);
     }
 }
+
+TEST_CASE("closed caller connections give their descriptors back")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const auto descriptors = [&] {
+        const std::filesystem::path folder = "/proc/" + std::to_string(fleet.nodes_[0]->pid()) + "/fd";
+        return std::distance(std::filesystem::directory_iterator(folder),
+                             std::filesystem::directory_iterator());
+    };
+    for (int i = 0; i < 300; ++i) {
+        REQUIRE(fleet.call("GET", "/").status_ == 200);
+    }
+    INFO("descriptors: " << descriptors());
+    REQUIRE(eventually([&] { return descriptors() < 100; }, 5));
+}
--- a/tests/end_to_end/intents_test.cpp
+++ b/tests/end_to_end/intents_test.cpp
@@ -110,3 +110,16 @@
     CHECK(exit_code({"status", "--node=127.0.0.1:1"}) == 5);
     CHECK(exit_code({"leaving", node, "desk", "u1"}) == 3);
 }
+
+TEST_CASE("a configuration of many services is stated, confirmed and followed whole")
+{
+    fleet fleet(2, 1);
+    json many = json::array();
+    for (int i = 0; i < 120; ++i) {
+        many.push_back(desk("service-" + std::to_string(i), 9)["changes"][0]);
+    }
+    fleet.confirm(many);
+    for (int i = 0; i < 2; ++i) {
+        REQUIRE(fleet.status(i)["services"].size() == 120);
+    }
+}
