Calls are observed at their end, so that broken answers burn the error budget

Cause: a call counted as good when its answer's head was passed on; an answer that broke off later stayed good. Change: the record is kept until the attempt ends; a broken answer counts as 502. Conclusion: the burn report now sees what callers see.

--- a/src/core/call_engine.cpp
+++ b/src/core/call_engine.cpp
@@ -206,7 +206,7 @@
     record.status_ = head.status_;
     record.upstream_ = tried.upstream_;
     record.data_centre_ = upstream == nullptr ? "" : upstream->config().data_centre_;
-    ports_.observer_.on_call_finished(record);
+    state.relayed_ = record;
     ports_.callers_.relay(state.call_.id_, attempt);
 }
 
@@ -232,6 +232,14 @@
     switch (outcome) {
     case attempt_outcome::complete:
     case attempt_outcome::broken_answer:
+        if (state.relayed_) {
+            auto record = *state.relayed_;
+            if (outcome == attempt_outcome::broken_answer) {
+                record.status_ = status_of(problem_kind::upstream_broken);
+                record.problem_ = problem_kind::upstream_broken;
+            }
+            ports_.observer_.on_call_finished(record);
+        }
         if (outcome == attempt_outcome::broken_answer) {
             ports_.callers_.abort(call);
         }
@@ -300,9 +308,7 @@
     if (state == nullptr) {
         return;
     }
-    if (state->phase_ != phase::relaying) {
-        ports_.observer_.on_call_finished(record_of(*state));
-    }
+    ports_.observer_.on_call_finished(state->relayed_.value_or(record_of(*state)));
     const bool never_sent = state->attempts_made_ == 0;
     if (auto* service = find_service(state->call_.service_)) {
         std::erase(service->waiting_, call);
--- a/src/core/call_engine.h
+++ b/src/core/call_engine.h
@@ -105,6 +105,7 @@
         std::vector<attempt_id> active_; ///< Attempts without an end yet.
         std::set<std::string> tried_;    ///< Upstreams of this call's attempts.
         std::optional<time_point> hedge_at_;
+        std::optional<call_record> relayed_; ///< Set when an answer's head was passed on.
         time_point wake_at_{}; ///< Position in `wakeups_`.
     };
 
--- a/tests/core/call_engine_test.cpp
+++ b/tests/core/call_engine_test.cpp
@@ -256,3 +256,23 @@
     bench.advance(500ms);
     REQUIRE(bench.upstreams_.started_.size() == before + 1);
 }
+
+TEST_CASE("each call is observed once, an answer that breaks off as a failure")
+{
+    engine_bench bench;
+    bench.send(true);
+    bench.answer(bench.upstreams_.last().attempt_);
+    REQUIRE(bench.observer_.records_.size() == 1);
+    REQUIRE(bench.observer_.records_[0].status_ == 200);
+    bench.send(true);
+    const auto attempt = bench.upstreams_.last().attempt_;
+    bench.engine_.on_answer_started(attempt, {200, false, std::nullopt});
+    REQUIRE(bench.observer_.records_.size() == 1);
+    bench.engine_.on_attempt_ended(attempt, attempt_outcome::broken_answer);
+    REQUIRE(bench.observer_.records_.size() == 2);
+    REQUIRE(bench.observer_.records_[1].status_ == 502);
+    const auto gone = bench.send(true);
+    bench.engine_.on_caller_gone(gone);
+    REQUIRE(bench.observer_.records_.size() == 3);
+    REQUIRE(bench.observer_.records_[2].status_ == 0);
+}
