--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -39,7 +39,10 @@
 void reset_connection(evhttp_connection* connection)
 {
     const sockaddr nowhere{AF_UNSPEC, {}};
-    connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &nowhere, sizeof nowhere);
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    if (connect(fd, &nowhere, sizeof nowhere) != 0) {
+        write_log(log_level::warning, "could not reset a caller's connection", {{"errno", errno}});
+    }
     evhttp_connection_free(connection);
 }
 
--- a/src/adapters/http/listener.cpp
+++ b/src/adapters/http/listener.cpp
@@ -54,8 +54,8 @@
                                   EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
                                   EVHTTP_REQ_PATCH;
     evhttp_set_allowed_methods(server_.get(), every_method);
-    evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(limits_.max_header_bytes_));
-    // evhttp would answer a large body with a page of its own; on_input refuses it first.
+    // evhttp would answer a large head or body with a page of its own; on_input refuses it first.
+    evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(2 * limits_.max_header_bytes_));
     evhttp_set_max_body_size(server_.get(),
                              static_cast<ev_ssize_t>(2 * limits_.max_body_bytes_ + (1U << 20U)));
     const timeval silence = to_timeval(limits_.idle_timeout_);
@@ -92,7 +92,8 @@
     // next connection, whose events are then deleted together with this bufferevent's.
     bufferevent* handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_incref(handle);
-    auto made = std::make_unique<stream>(stream{*this, handle, 0, false});
+    auto made = std::make_unique<stream>(
+        stream{*this, handle, request_head_scanner(limits_.max_header_bytes_), 0, std::nullopt});
     evbuffer_add_cb(
         bufferevent_get_input(handle),
         [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
@@ -107,31 +108,63 @@
     return handle;
 }
 
+/// Scans the last `added` bytes of the input.
+std::optional<problem_kind> listener::scan_head(stream& from, std::size_t added)
+{
+    if (added == 0 || from.head_.complete()) {
+        return std::nullopt;
+    }
+    evbuffer* input = bufferevent_get_input(from.handle_);
+    std::string bytes(added, '\0');
+    evbuffer_ptr start{};
+    evbuffer_ptr_set(input, &start, evbuffer_get_length(input) - added, EVBUFFER_PTR_SET);
+    evbuffer_copyout_from(input, &start, bytes.data(), bytes.size());
+    return from.head_.feed(bytes);
+}
+
+/// Runs inside of evbuffer's callback, before evhttp sees the bytes.
 void listener::on_input(stream& from, std::size_t added)
 {
     from.arriving_bytes_ += added;
     arriving_bytes_ += added;
-    const bool body_too_large = from.arriving_bytes_ > limits_.max_body_bytes_ + limits_.max_header_bytes_;
-    const bool memory_exhausted = arriving_bytes_ > limits_.max_arriving_bytes_;
-    if ((body_too_large || memory_exhausted) && !from.refused_) {
-        from.refused_ = true;
-        loop_.defer([this, handle = from.handle_, body_too_large] {
-            if (const auto found = streams_.find(handle); found != streams_.end()) {
-                refuse(*found->second, body_too_large);
-            }
-        });
+    if (from.refused_) {
+        return;
+    }
+    from.refused_ = scan_head(from, added);
+    if (!from.refused_ && from.arriving_bytes_ > limits_.max_body_bytes_ + limits_.max_header_bytes_) {
+        from.refused_ = problem_kind::body_too_large;
+    }
+    if (!from.refused_ && arriving_bytes_ > limits_.max_arriving_bytes_) {
+        from.refused_ = problem_kind::memory_exhausted;
+    }
+    if (!from.refused_) {
+        return;
     }
+    refuse_soon(from);
+}
+
+void listener::refuse_soon(stream& from)
+{
+    // Without a read callback evhttp takes nothing more from this connection.
+    bufferevent_data_cb on_write = nullptr;
+    bufferevent_event_cb on_event = nullptr;
+    void* argument = nullptr;
+    bufferevent_getcb(from.handle_, nullptr, &on_write, &on_event, &argument);
+    bufferevent_setcb(from.handle_, nullptr, on_write, on_event, argument);
+    loop_.defer([this, handle = from.handle_] {
+        if (const auto found = streams_.find(handle); found != streams_.end()) {
+            refuse(*found->second);
+        }
+    });
 }
 
-void listener::refuse(stream& from, bool body_too_large)
+void listener::refuse(stream& from)
 {
-    if (let_go_by_evhttp(from.handle_) || from.arriving_bytes_ == 0) {
-        from.refused_ = false;
+    if (let_go_by_evhttp(from.handle_)) {
         return;
     }
     ++refused_while_arriving_;
-    const auto answer =
-        early_refusal(body_too_large ? problem_kind::body_too_large : problem_kind::memory_exhausted);
+    const auto answer = early_refusal(*from.refused_);
     const int fd = bufferevent_getfd(from.handle_);
     bufferevent_disable(from.handle_, EV_READ);
     send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -146,8 +179,14 @@
     if (found == streams_.end()) {
         return;
     }
-    arriving_bytes_ -= found->second->arriving_bytes_;
-    found->second->arriving_bytes_ = 0;
+    stream& whole = *found->second;
+    arriving_bytes_ -= whole.arriving_bytes_;
+    // What is left in the input belongs to the connection's next request. A fault in it is left to evhttp,
+    // which answers it after the present one.
+    whole.arriving_bytes_ = evbuffer_get_length(bufferevent_get_input(handle));
+    arriving_bytes_ += whole.arriving_bytes_;
+    whole.head_.reset();
+    scan_head(whole, whole.arriving_bytes_);
 }
 
 void listener::sweep()
--- a/src/adapters/http/listener.h
+++ b/src/adapters/http/listener.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapters/event/event_loop.h"
+#include "adapters/http/request_head_scanner.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -56,13 +57,16 @@
     struct stream {
         listener& owner_;
         bufferevent* handle_ = nullptr;
+        request_head_scanner head_;
         std::size_t arriving_bytes_ = 0;
-        bool refused_ = false;
+        std::optional<problem_kind> refused_; ///< Set once; the connection then only ends.
     };
 
     bufferevent* make_stream();
     void on_input(stream& from, std::size_t added);
-    void refuse(stream& from, bool body_too_large);
+    std::optional<problem_kind> scan_head(stream& from, std::size_t added);
+    void refuse_soon(stream& from);
+    void refuse(stream& from);
     void sweep();
 
     event_loop& loop_;
--- a/src/adapters/mesh/mesh_transport.h
+++ b/src/adapters/mesh/mesh_transport.h
@@ -33,8 +33,8 @@
     void listen(const std::string& ip, std::uint16_t port);
 
     link_id connect(const std::string& ip, std::uint16_t port) override;
-    void send(link_id link, const std::string& bytes) override;
-    void close(link_id link) override;
+    void send(link_id id, const std::string& bytes) override;
+    void close(link_id id) override;
 
     /// Bytes on the wire, including WebSocket framing, without TCP and IP headers.
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
--- a/src/adapters/mesh/websocket_session.cpp
+++ b/src/adapters/mesh/websocket_session.cpp
@@ -23,22 +23,26 @@
         endpoint_.clear_access_channels(websocketpp::log::alevel::all);
         endpoint_.clear_error_channels(websocketpp::log::elevel::all);
         endpoint_.set_max_message_size(max_message_bytes);
-        endpoint_.set_write_handler([this](websocketpp::connection_hdl, char const* bytes, size_t size) {
-            callbacks_.write_(bytes, size);
-            return websocketpp::lib::error_code();
-        });
-        endpoint_.set_open_handler([this](websocketpp::connection_hdl) {
+        endpoint_.set_write_handler(
+            [this](const websocketpp::connection_hdl&, char const* bytes, size_t size) {
+                callbacks_.write_(bytes, size);
+                return websocketpp::lib::error_code();
+            });
+        endpoint_.set_open_handler([this](const websocketpp::connection_hdl&) {
             open_ = true;
             callbacks_.open_();
         });
         endpoint_.set_message_handler(
-            [this](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
+            [this](const websocketpp::connection_hdl&, const typename Endpoint::message_ptr& message) {
                 callbacks_.message_(message->get_payload());
             });
-        endpoint_.set_fail_handler([this](websocketpp::connection_hdl) { callbacks_.failed_(); });
-        endpoint_.set_close_handler([this](websocketpp::connection_hdl) { callbacks_.failed_(); });
+        endpoint_.set_fail_handler([this](const websocketpp::connection_hdl&) { callbacks_.failed_(); });
+        endpoint_.set_close_handler([this](const websocketpp::connection_hdl&) { callbacks_.failed_(); });
     }
 
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
     ~session() override
     {
         // The library may call back from its destructors; nobody listens any more.
--- a/src/core/call_engine.h
+++ b/src/core/call_engine.h
@@ -106,7 +106,7 @@
         std::set<std::string> tried_;    ///< Upstreams of this call's attempts.
         std::optional<time_point> hedge_at_;
         std::optional<call_record> relayed_; ///< Set when an answer's head was passed on.
-        time_point wake_at_{}; ///< Position in `wakeups_`.
+        time_point wake_at_{};               ///< Position in `wakeups_`.
     };
 
     struct attempt_state {
--- a/src/daemon/fleet_member.cpp
+++ b/src/daemon/fleet_member.cpp
@@ -175,6 +175,7 @@
         owners.push_back({other.name_, other.data_centre_});
     }
     std::vector<std::string> names;
+    names.reserve(owners.size());
     for (const auto& owner : owners) {
         names.push_back(owner.name_);
     }
--- /dev/null
+++ b/tests/adapters/request_head_scanner_test.cpp
@@ -0,0 +1,54 @@
+// Tests of the scanner that refuses bad request heads before evhttp does.
+#include "adapters/http/request_head_scanner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvilpost;
+
+namespace {
+
+constexpr std::size_t limit = 1'000;
+
+std::optional<problem_kind> scan(const std::string& bytes)
+{
+    request_head_scanner scanner(limit);
+    return scanner.feed(bytes);
+}
+
+} // namespace
+
+TEST_CASE("a plain head is accepted in whatever pieces it arrives")
+{
+    const std::string head =
+        "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length:  12 \r\nEmpty:\r\n\r\nbody: \n no head";
+    request_head_scanner scanner(limit);
+    for (const char c : head) {
+        REQUIRE_FALSE(scanner.feed({&c, 1}).has_value());
+    }
+    REQUIRE(scanner.complete());
+    scanner.reset();
+    REQUIRE_FALSE(scanner.complete());
+    REQUIRE_FALSE(scanner.feed("GET / HTTP/1.0\n\n").has_value());
+    REQUIRE(scanner.complete());
+}
+
+TEST_CASE("malformed heads are found")
+{
+    for (const std::string head :
+         {"BREW /pot HTTP/1.1\r\n", "GET\r\n", "GET /\r\n", "GET / HTTP/2.0\r\n", "\r\n",
+          "GET /a b HTTP/1.1\r\n", "get / HTTP/1.1\r\n", "GET / HTTP/1.1\r\nno colon\r\n",
+          "GET / HTTP/1.1\r\n: nameless\r\n", "GET / HTTP/1.1\r\nA: b\r\n folded\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 12abc\r\n", "POST / HTTP/1.1\r\ncontent-LENGTH: -1\r\n",
+          "POST / HTTP/1.1\r\nContent-Length:\r\n"}) {
+        INFO(head);
+        CHECK(scan(head) == problem_kind::malformed_request);
+    }
+}
+
+TEST_CASE("heads over the limit are found before they are whole")
+{
+    REQUIRE(scan("GET / HTTP/1.1\r\nA: " + std::string(limit, 'x')) == problem_kind::header_too_large);
+    REQUIRE(scan("GET /" + std::string(limit, 'x')) == problem_kind::header_too_large);
+    request_head_scanner roomy(100'000);
+    REQUIRE(roomy.feed("GET /" + std::string(9'000, 'x')) == problem_kind::header_too_large);
+}
--- a/tests/end_to_end/call_path_test.cpp
+++ b/tests/end_to_end/call_path_test.cpp
@@ -216,3 +216,52 @@
     INFO("descriptors: " << descriptors());
     REQUIRE(eventually([&] { return descriptors() < 100; }, 5));
 }
+
+TEST_CASE("heads that are malformed or too large are refused with a problem and a verdict")
+{
+    fleet fleet(1, 1, {}, {"--max_header_kb=4"});
+    fleet.put_desk();
+    const std::vector<std::pair<std::string, std::string>> bad{
+        {"BREW /pot HTTP/1.1\r\nHost: desk.example\r\n\r\n", "HTTP/1.1 400"},
+        {"nonsense\r\n\r\n", "HTTP/1.1 400"},
+        {"GET / HTTP/1.1\r\nHost: desk.example\r\nno colon\r\n\r\n", "HTTP/1.1 400"},
+        {"POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5x\r\n\r\nhello", "HTTP/1.1 400"},
+        {"GET / HTTP/1.1\r\nHost: desk.example\r\nA: " + std::string(5000, 'a') + "\r\n\r\n", "HTTP/1.1 431"},
+    };
+    for (const auto& [bytes, expected] : bad) {
+        const auto received = send_raw(fleet.call_port(0), bytes);
+        INFO(bytes.substr(0, 80) << "\n-> " << received);
+        CHECK(received.starts_with(expected));
+        CHECK(received.find("Anvilpost-Verdict: not_run") != std::string::npos);
+        CHECK(received.find("application/problem+json") != std::string::npos);
+    }
+    REQUIRE(fleet.call("GET", "/").status_ == 200);
+    REQUIRE(fleet.executions("-") == 1);
+}
+
+TEST_CASE("two requests sent at once on a connection are answered one after the other")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const std::string one = "GET /1 HTTP/1.1\r\nHost: desk.example\r\nX-Echo: first\r\n\r\n";
+    const std::string two = "POST /2 HTTP/1.1\r\nHost: desk.example\r\nX-Echo: second\r\nConnection: "
+                            "close\r\nContent-Length: 2\r\n\r\nab";
+    const auto received = send_raw(fleet.call_port(0), one + two);
+    INFO(received);
+    REQUIRE(received.find("first") < received.find("second"));
+    REQUIRE(received.find("second") != std::string::npos);
+}
+
+TEST_CASE("a second request that arrives in pieces behind the first is taken whole")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const std::string one = "GET /1 HTTP/1.1\r\nHost: desk.example\r\nX-Echo: first\r\n\r\n";
+    const std::string head = "POST /2 HTTP/1.1\r\nHost: desk.example\r\nX-Echo: second\r\nConnection: "
+                             "close\r\nContent-Length: 20\r\n\r\n";
+    const auto received = send_raw(fleet.call_port(0),
+                                   {one + head.substr(0, 30), head.substr(30) + "0123456789", "no head\nat"});
+    INFO(received);
+    REQUIRE(received.find("second") != std::string::npos);
+    REQUIRE(received.find(" 400 ") == std::string::npos);
+}
--- a/tests/end_to_end/processes.h
+++ b/tests/end_to_end/processes.h
@@ -44,6 +44,9 @@
 /// Sends raw bytes and returns everything that came back until the peer closed or 3 s passed.
 std::string send_raw(std::uint16_t port, const std::string& bytes);
 
+/// The same with the bytes in parts, 100 ms apart.
+std::string send_raw(std::uint16_t port, const std::vector<std::string>& parts);
+
 /// Calls `condition` until it is true or `seconds` have passed; returns whether it became true.
 template <class Condition>
 bool eventually(Condition condition, int seconds = 10);
