Each node keeps to its share of an upstream's connections

Change: 'worker_connections' (200) is shared among the live nodes; the pool closes idle connections to make room, and a node sends an upstream no more calls at a time than it may hold connections. Measured: end-to-end test with a share of 4 and 60 calls at once: most open 4, all answered. At the target 45 nodes hold 4 each, 180 per worker. Conclusion: a setting is enforced or it is not there.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -33,7 +33,6 @@
 WATCHERS_PER_DATA_CENTRE = 2
 DIRECT_READ_PERIOD_S = 4.4
 VM_LIST_PERIOD_S = 1.0
-CONNECTIONS_PER_NODE_AND_WORKER = 8
 CLAIM_SHARDS = 4
 CLAIM_RETENTION_S = 660
 CLAIM_WRITES_PER_SECOND = 240
@@ -74,8 +73,8 @@
     row("call path", "nodes in all", nodes, None, "nodes", "")
     row("call path", "added latency, 99 in 100, one hop", slopes["added_p99_ms"], ADDED_MS, "ms", "no lock, no hand-over between threads")
     row("call path", "added latency, half of the calls, 13 hops", 13 * slopes["added_p50_ms"], None, "ms", "")
-    sharing = nodes * CONNECTIONS_PER_NODE_AND_WORKER
-    row("call path", "connections per worker if every node uses it", sharing, CONNECTIONS_PER_WORKER, "connections", "slot ownership concentrates use; no bound yet")
+    sharing = nodes * (CONNECTIONS_PER_WORKER // nodes)
+    row("call path", "connections per worker, all nodes", sharing, CONNECTIONS_PER_WORKER, "connections", "each live node keeps to its share")
 
     sent, residual = at(slopes["mesh_sent_bytes_per_node"], nodes)
     received, _ = at(slopes["mesh_received_bytes_per_node"], nodes)
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -50,7 +50,10 @@
 
 upstream_pool::connection_ptr upstream_pool::open_connection(const attempt_order& order)
 {
+    const std::string address = order.ip_ + ":" + std::to_string(order.port_);
+    make_room(address, order.connection_limit_);
     ++counters_.connections_opened_;
+    counters_.most_open_ = std::max(counters_.most_open_, static_cast<std::uint64_t>(++open_[address]));
     auto opened = std::make_unique<connection>(connection{
         *this, order.ip_ + ":" + std::to_string(order.port_), nullptr, clock_.now(), 0, false, {}});
     opened->handle_ = evhttp_connection_base_bufferevent_new(loop_.base(), nullptr, nullptr,
@@ -87,6 +90,17 @@
     return opened;
 }
 
+/// Closes idle connections, the oldest first, so that one more stays within the limit.
+void upstream_pool::make_room(const std::string& address, int limit)
+{
+    auto& idle = idle_[address];
+    while (!idle.empty() && open_[address] >= limit) {
+        connection_ptr oldest = std::move(idle.front());
+        idle.pop_front();
+        retire(std::move(oldest));
+    }
+}
+
 bool upstream_pool::reusable(const connection& idle) const
 {
     bufferevent* stream = evhttp_connection_get_bufferevent(idle.handle_);
@@ -237,7 +251,8 @@
     auto ended = std::move(found->second);
     attempts_.erase(found);
     ended->ended_ = true;
-    keep_or_retire(std::move(ended->connection_), outcome == attempt_outcome::complete);
+    keep_or_retire(std::move(ended->connection_), outcome == attempt_outcome::complete,
+                   ended->order_.connection_limit_);
     engine_->on_attempt_ended(id, outcome);
 }
 
@@ -294,10 +309,10 @@
     return attempts_.at(id)->answer_status_;
 }
 
-void upstream_pool::keep_or_retire(connection_ptr used, bool may_keep)
+void upstream_pool::keep_or_retire(connection_ptr used, bool may_keep, int limit)
 {
     auto& idle = idle_[used->address_];
-    if (!may_keep || !reusable(*used) || idle.size() >= limits_.idle_per_upstream_) {
+    if (!may_keep || !reusable(*used) || open_[used->address_] > limit) {
         retire(std::move(used));
         return;
     }
@@ -307,6 +322,9 @@
 
 void upstream_pool::retire(connection_ptr closing)
 {
+    if (const auto open = open_.find(closing->address_); open != open_.end() && --open->second == 0) {
+        open_.erase(open);
+    }
     evhttp_connection_set_closecb(closing->handle_, nullptr, nullptr);
     evhttp_connection_free(closing->handle_);
 }
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -23,19 +23,20 @@
     duration body_idle_timeout_ = std::chrono::seconds(30); ///< Longest silence inside an answer.
     std::size_t max_header_bytes_ = 64UL * 1024;
     std::size_t max_chunk_bytes_ = 4UL * 1024 * 1024; ///< Largest chunk of a chunked answer.
-    std::size_t idle_per_upstream_ = 8;
 };
 
 /// Counters for the metrics endpoint.
 struct upstream_pool_counters {
     std::uint64_t connections_opened_ = 0;
     std::uint64_t connections_reused_ = 0;
-    std::uint64_t surplus_answers_ =
-        0; ///< Connections closed because bytes arrived that no request asked for.
+    std::uint64_t most_open_ = 0; ///< Most connections open to one upstream at the same time.
+    /// Connections closed because bytes arrived that no request asked for.
+    std::uint64_t surplus_answers_ = 0;
 };
 
-/// Invariants: every attempt in `attempts_` has exactly one connection; a connection is either idle or
-/// owned by one attempt.
+/// Invariants: no upstream has more connections than the latest order's limit, but for attempts that were
+/// started under a greater one; every attempt in `attempts_` has exactly one connection; a connection is
+/// either idle or owned by one attempt.
 class upstream_pool : public upstream_port {
 public:
     upstream_pool(event_loop& loop, const clock_port& clock, upstream_pool_limits limits);
@@ -88,7 +89,8 @@
     connection_ptr open_connection(const attempt_order& order);
     bool reusable(const connection& idle) const;
     void retire(connection_ptr closing);
-    void keep_or_retire(connection_ptr used, bool may_keep);
+    void keep_or_retire(connection_ptr used, bool may_keep, int limit);
+    void make_room(const std::string& address, int limit);
     int on_head(attempt& current, evhttp_request* answer);
     void on_body(attempt& current, evhttp_request* answer);
     void on_done(attempt& current, evhttp_request* answer);
@@ -105,6 +107,7 @@
     request_source* source_ = nullptr;
     std::unordered_map<attempt_id, std::unique_ptr<attempt>> attempts_;
     std::map<std::string, std::list<connection_ptr>> idle_;
+    std::map<std::string, int> open_; ///< Connections per address, idle or not.
     timer sweep_;
     upstream_pool_counters counters_;
 };
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -42,7 +42,8 @@
     std::string ip_;
     std::uint16_t port_ = 0;
     connection_need connection_ = connection_need::any;
-    duration time_left_{}; ///< Passed on to the upstream as its deadline.
+    int connection_limit_ = 1; ///< Connections that this node may hold to the upstream.
+    duration time_left_{};     ///< Passed on to the upstream as its deadline.
 };
 
 /// Load that an upstream reported in an answer.
--- a/src/core/call_engine.cpp
+++ b/src/core/call_engine.cpp
@@ -54,6 +54,7 @@
             service.drop_finished_upstreams();
         }
     }
+    set_nodes(nodes_);
     for (auto& [unused, service] : services_) {
         serve_waiting(service);
     }
@@ -150,7 +151,7 @@
     ports_.upstreams_.start({attempt, state.call_.id_, service.name(), upstream.name(), upstream.config().ip_,
                              upstream.config().port_,
                              must_be_proved ? connection_need::recently_proved : need,
-                             state.call_.deadline_ - now()});
+                             service.connection_limit(), state.call_.deadline_ - now()});
 }
 
 void call_engine::on_answer_started(attempt_id attempt, const answer_head& head)
@@ -400,6 +401,14 @@
     serve_waiting(*state);
 }
 
+void call_engine::set_nodes(std::size_t nodes)
+{
+    nodes_ = nodes;
+    for (auto& [unused, service] : services_) {
+        service.set_nodes(nodes);
+    }
+}
+
 void call_engine::set_owned_slots(const std::string& service, const std::map<std::string, int>& owned)
 {
     auto* state = find_service(service);
--- a/src/core/call_engine.h
+++ b/src/core/call_engine.h
@@ -68,6 +68,9 @@
     /// A probe, by this node or another, found an upstream working or not.
     void on_probe_finding(const std::string& service, const std::string& upstream, bool healthy);
 
+    /// Sets the number of live nodes, which share the upstreams' connections.
+    void set_nodes(std::size_t nodes);
+
     /// Sets which slots this node owns; upstreams that are not in the map have none.
     void set_owned_slots(const std::string& service, const std::map<std::string, int>& owned);
 
@@ -144,6 +147,7 @@
     std::set<std::pair<time_point, call_id>> wakeups_;
     crash_suspects suspects_;
     std::uint64_t next_attempt_ = 1;
+    std::size_t nodes_ = 1;
 };
 
 } // namespace anvilpost
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -67,7 +67,7 @@
     std::chrono::milliseconds queue_wait_{1'000}; ///< Longest wait for a free upstream.
     int queue_length_ = 200;                      ///< Calls waiting per node; more are refused.
     int slots_ = 6;                               ///< Calls one upstream works on at the same time.
-    int connections_ = 8;                         ///< Upstream connections per node and upstream.
+    int worker_connections_ = 200;                ///< Connections that one upstream takes from all nodes.
     double retry_share_ = 0.1;                    ///< Retries as a share of calls, in [0, 1].
     double hedge_share_ = 0.05;                   ///< Hedges as a share of calls, in [0, 1].
     double probes_per_second_ = 1.0;              ///< Budget for the whole fleet.
--- a/src/core/configuration_json.cpp
+++ b/src/core/configuration_json.cpp
@@ -13,7 +13,7 @@
 constexpr int max_timeout_ms = 3'600'000;
 constexpr int max_nodes = 10'000;
 constexpr int max_slots = 10'000;
-constexpr int max_connections = 1'000;
+constexpr int max_connections = 100'000;
 constexpr int max_queue_length = 100'000;
 constexpr double max_probes_per_second = 10'000;
 
@@ -54,7 +54,7 @@
     reader.milliseconds("queue_wait_ms", policy.queue_wait_, 0, max_timeout_ms);
     reader.integer("queue_length", policy.queue_length_, 0, max_queue_length);
     reader.integer("slots", policy.slots_, 1, max_slots);
-    reader.integer("connections", policy.connections_, 1, max_connections);
+    reader.integer("worker_connections", policy.worker_connections_, 1, max_connections);
     reader.number("retry_share", policy.retry_share_, 0, 1);
     reader.number("hedge_share", policy.hedge_share_, 0, 1);
     reader.number("probes_per_second", policy.probes_per_second_, 0, max_probes_per_second);
@@ -218,7 +218,7 @@
                           {"queue_wait_ms", policy.queue_wait_.count()},
                           {"queue_length", policy.queue_length_},
                           {"slots", policy.slots_},
-                          {"connections", policy.connections_},
+                          {"worker_connections", policy.worker_connections_},
                           {"retry_share", policy.retry_share_},
                           {"hedge_share", policy.hedge_share_},
                           {"probes_per_second", policy.probes_per_second_},
--- a/src/core/service_state.cpp
+++ b/src/core/service_state.cpp
@@ -54,7 +54,13 @@
 
 bool service_state::has_room(const upstream_tracker& upstream) const
 {
-    return upstream.receives_calls() && upstream.in_flight() < config_.policy_.slots_;
+    return upstream.receives_calls() &&
+           upstream.in_flight() < std::min(config_.policy_.slots_, connection_limit());
+}
+
+int service_state::connection_limit() const
+{
+    return std::max(1, config_.policy_.worker_connections_ / static_cast<int>(nodes_));
 }
 
 bool service_state::every_receiver_ejected(time_point now) const
--- a/src/core/service_state.h
+++ b/src/core/service_state.h
@@ -8,6 +8,7 @@
 #include "core/share_budget.h"
 #include "core/upstream_tracker.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -44,6 +45,12 @@
         return upstreams_;
     }
 
+    /// Sets the number of nodes that share each upstream's connections.
+    void set_nodes(std::size_t nodes) { nodes_ = std::max<std::size_t>(1, nodes); }
+
+    /// Connections that this node may hold to one upstream: its share of what the upstream takes.
+    [[nodiscard]] int connection_limit() const;
+
     /// Expected wait of a call that joins the queue now.
     [[nodiscard]] duration expected_queue_wait() const;
 
@@ -67,6 +74,7 @@
     std::string name_;
     service_config config_;
     any_picker picker_;
+    std::size_t nodes_ = 1;
     std::map<std::string, std::unique_ptr<upstream_tracker>> upstreams_;
 };
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -211,6 +211,7 @@
     add("claims_abandoned", "gauge", claims_.abandoned());
     add("upstream_connections_opened_total", "counter", pool.connections_opened_);
     add("upstream_connections_reused_total", "counter", pool.connections_reused_);
+    add("upstream_connections_most_open", "gauge", pool.most_open_);
     add("upstream_connections_surplus_total", "counter", pool.surplus_answers_);
     add("mesh_links", "gauge", fleet_.agent().links());
     add("mesh_bytes_sent_total", "counter", fleet_.transport().bytes_sent());
--- a/tests/end_to_end/call_path_test.cpp
+++ b/tests/end_to_end/call_path_test.cpp
@@ -265,3 +265,21 @@
     REQUIRE(received.find("second") != std::string::npos);
     REQUIRE(received.find(" 400 ") == std::string::npos);
 }
+
+TEST_CASE("a node holds no more connections to an upstream than its share")
+{
+    fleet fleet(1, 1, {"--slots=50"});
+    fleet.put_desk({{"slots", 50}, {"worker_connections", 4}, {"hedge_share", 1.0}});
+    std::vector<std::future<http_answer>> answers;
+    for (int i = 0; i < 60; ++i) {
+        answers.push_back(std::async(std::launch::async, [&fleet, i] {
+            return fleet.call(i % 3 == 0 ? "POST" : "GET", "/", {{"X-Stand-In-Ms", "20"}});
+        }));
+    }
+    for (auto& answer : answers) {
+        CHECK(answer.get().status_ == 200);
+    }
+    const auto metrics = send(fleet.admin_port(0), "GET", "/metrics").body_;
+    INFO(metrics);
+    REQUIRE(metrics.find("anvilpost_upstream_connections_most_open 4\n") != std::string::npos);
+}
