--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -94,7 +94,7 @@
 
     control_cpu, residual = at(slopes["idle_cpu_percent_by_nodes"], nodes)
     target_cpu = slopes["target_configuration_cpu_percent"] - slopes["idle_cpu_percent_by_nodes"][0][1]
-    row("all control", "processor, part of a core", control_cpu + max(0.0, target_cpu), CONTROL_CPU_PERCENT, "%", "heartbeats each second, ticks each half second", f"± {residual:.2f} ")
+    row("all control", "processor, part of a core", control_cpu + max(0.0, target_cpu), CONTROL_CPU_PERCENT, "%", "heartbeats every 2 s, ticks every half second", f"± {residual:.2f} ")
     row("all control", "resident memory with the target's configuration", slopes["target_configuration_resident_kb"] / 1024, CONTROL_MEMORY_MB, "MB", "one document, one tracker per worker")
 
     claims_held = CLAIM_SHARDS * 900_000 / slopes["claim_bytes"]
--- a/src/adapters/platform/base64.cpp
+++ b/src/adapters/platform/base64.cpp
@@ -1,4 +1,4 @@
-// Uses Boost's iterators would need padding care as well; Abseil's codec does all of it.
+// Wraps Abseil's codec.
 #include "adapters/platform/base64.h"
 
 #include <absl/strings/escaping.h>
--- a/src/adapters/platform/configuration_follower.cpp
+++ b/src/adapters/platform/configuration_follower.cpp
@@ -20,11 +20,6 @@
 {
 }
 
-void configuration_follower::start()
-{
-    set_watching(true);
-}
-
 void configuration_follower::set_watching(bool watching)
 {
     if (watching == watching_) {
--- a/src/adapters/platform/configuration_follower.h
+++ b/src/adapters/platform/configuration_follower.h
@@ -27,10 +27,7 @@
     /// Calls `on_change` with each configuration that comes into force.
     void on_change(listener_function listener) { listeners_.push_back(std::move(listener)); }
 
-    /// Starts watching the store.
-    void start();
-
-    /// Stops or restarts watching; a node that follows its peers need not watch the store.
+    /// Starts or stops watching; a node that follows its peers need not watch the store.
     void set_watching(bool watching);
 
     /// Offers a document. Returns true when it came into force. A document that does not parse or whose
--- a/src/core/claim_ledger.h
+++ b/src/core/claim_ledger.h
@@ -82,6 +82,12 @@
         bool written_ = false;  ///< Was part of a write that may have taken effect.
     };
 
+    /// Where a granted claim stands.
+    struct held_claim {
+        std::size_t shard_ = 0;
+        claim_id id_;
+    };
+
     struct shard_state {
         std::string store_key_;
         std::vector<pending_claim> waiting_;
@@ -119,10 +125,6 @@
     claim_settings settings_;
     decided_function decided_;
     std::vector<shard_state> shards_;
-    struct held_claim {
-        std::size_t shard_ = 0;
-        claim_id id_;
-    };
     std::unordered_map<call_id, held_claim> granted_; ///< Granted and neither kept nor released yet.
     std::uint64_t next_sequence_ = 1;
     std::size_t nodes_ = 1;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -30,7 +30,6 @@
     duration drain_timeout_{};
     caller_limits limits_;
     log_level log_level_ = log_level::info;
-    std::string vm_list_path_;
 };
 
 /// Result of reading the settings; `problems_` lists everything that is wrong with them.
