Rooms for the core: calls, upstreams, fleet, configuration, claims, burn

Cause: src/core was one flat folder of 28 files, and the ports included from it. Change: moves only. What the ports speak (call, verdict, problem, clock) lies in src/vocabulary, under both. src/adapters/platform, which holds this project's own store protocol, becomes src/adapters/store, since `platform/` will be the users'. Measured: builds with warnings as errors; no line of logic changed.

--- a/bench/core_benchmark.cpp
+++ b/bench/core_benchmark.cpp
@@ -1,9 +1,9 @@
 // Micro-benchmarks of the decision core; not part of the test run.
-#include "core/call_engine.h"
-#include "core/claim_shard.h"
-#include "core/configuration_json.h"
-#include "core/mesh_messages.h"
-#include "core/slot_ownership.h"
+#include "core/calls/call_engine.h"
+#include "core/claims/claim_shard.h"
+#include "core/configuration/configuration_json.h"
+#include "core/fleet/mesh_messages.h"
+#include "core/upstreams/slot_ownership.h"
 
 #include <benchmark/benchmark.h>
 
--- a/src/adapters/http/answer_sink.h
+++ b/src/adapters/http/answer_sink.h
@@ -2,7 +2,7 @@
 // which the caller's side slows the upstream down.
 #pragma once
 
-#include "core/call.h"
+#include "vocabulary/call.h"
 
 struct evbuffer;
 
--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -3,7 +3,7 @@
 
 #include "adapters/http/evhttp_headers.h"
 #include "adapters/logging/json_log.h"
-#include "core/stable_hash.h"
+#include "vocabulary/stable_hash.h"
 
 #include <algorithm>
 #include <event2/buffer.h>
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -6,8 +6,8 @@
 #include "adapters/http/listener.h"
 #include "adapters/http/outgoing_request.h"
 #include "adapters/http/upstream_pool.h"
-#include "core/call_engine.h"
-#include "core/configuration.h"
+#include "core/calls/call_engine.h"
+#include "core/configuration/configuration.h"
 #include "ports/caller_port.h"
 
 #include <memory>
--- a/src/adapters/http/listener.cpp
+++ b/src/adapters/http/listener.cpp
@@ -2,7 +2,7 @@
 // the sweep notices it because evhttp clears the callbacks of a bufferevent that it lets go.
 #include "adapters/http/listener.h"
 
-#include "core/problem.h"
+#include "vocabulary/problem.h"
 
 #include <arpa/inet.h>
 #include <stdexcept>
--- a/src/adapters/http/request_head_scanner.h
+++ b/src/adapters/http/request_head_scanner.h
@@ -2,7 +2,7 @@
 // refuse with a page of its own is refused with a problem document and a verdict instead.
 #pragma once
 
-#include "core/problem.h"
+#include "vocabulary/problem.h"
 
 #include <optional>
 #include <string>
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -5,7 +5,7 @@
 #include "adapters/event/event_loop.h"
 #include "adapters/http/answer_sink.h"
 #include "adapters/http/header_rules.h"
-#include "core/call_engine.h"
+#include "core/calls/call_engine.h"
 #include "ports/upstream_port.h"
 
 #include <event2/http.h>
--- a/src/adapters/mesh/mesh_transport.h
+++ b/src/adapters/mesh/mesh_transport.h
@@ -4,7 +4,7 @@
 
 #include "adapters/event/event_loop.h"
 #include "adapters/mesh/websocket_session.h"
-#include "core/mesh_agent.h"
+#include "core/fleet/mesh_agent.h"
 #include "ports/mesh_port.h"
 
 #include <event2/bufferevent.h>
--- a/src/adapters/metrics/call_metrics.h
+++ b/src/adapters/metrics/call_metrics.h
@@ -1,8 +1,8 @@
 // Latency statistics of one node on Boost.Accumulators, for the metrics endpoint.
 #pragma once
 
-#include "core/problem.h"
 #include "ports/call_observer.h"
+#include "vocabulary/problem.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
--- a/src/adapters/operators/intent_service.cpp
+++ b/src/adapters/operators/intent_service.cpp
@@ -2,8 +2,8 @@
 // lost. A plan lists itself as applied in the document it writes, which is how a lost answer is resolved.
 #include "adapters/operators/intent_service.h"
 
-#include "core/configuration_json.h"
-#include "core/json_reader.h"
+#include "core/configuration/configuration_json.h"
+#include "core/configuration/json_reader.h"
 
 #include <memory>
 
--- a/src/adapters/operators/intent_service.h
+++ b/src/adapters/operators/intent_service.h
@@ -2,7 +2,7 @@
 // the store only in `confirm`, by one compare-and-swap on the version the plan was made from.
 #pragma once
 
-#include "core/intent.h"
+#include "core/configuration/intent.h"
 #include "ports/key_value_port.h"
 
 #include <functional>
--- a/src/adapters/platform/base64.cpp
+++ b/src/adapters/store/base64.cpp
@@ -1,5 +1,5 @@
 // Wraps Abseil's codec.
-#include "adapters/platform/base64.h"
+#include "adapters/store/base64.h"
 
 #include <absl/strings/escaping.h>
 
--- a/src/adapters/platform/configuration_follower.cpp
+++ b/src/adapters/store/configuration_follower.cpp
@@ -1,8 +1,8 @@
 // Watch loop with jittered retries, and the rule that only greater revisions come into force.
-#include "adapters/platform/configuration_follower.h"
+#include "adapters/store/configuration_follower.h"
 
 #include "adapters/logging/json_log.h"
-#include "core/configuration_json.h"
+#include "core/configuration/configuration_json.h"
 
 namespace anvilpost {
 namespace {
--- a/src/adapters/platform/configuration_follower.h
+++ b/src/adapters/store/configuration_follower.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "adapters/event/event_loop.h"
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 #include "ports/key_value_port.h"
 #include "ports/random_port.h"
 
--- a/src/adapters/platform/consul_store.cpp
+++ b/src/adapters/store/consul_store.cpp
@@ -1,7 +1,7 @@
 // Maps store operations to Consul's HTTP API and its answers to store_status.
-#include "adapters/platform/consul_store.h"
+#include "adapters/store/consul_store.h"
 
-#include "adapters/platform/base64.h"
+#include "adapters/store/base64.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/burn_ledger.cpp
+++ b/src/core/burn/burn_ledger.cpp
@@ -1,5 +1,5 @@
 // Minute slots, window sums and burn rates.
-#include "core/burn_ledger.h"
+#include "core/burn/burn_ledger.h"
 
 #include "ports/clock_port.h"
 
--- a/src/core/burn_ledger.h
+++ b/src/core/burn/burn_ledger.h
@@ -2,9 +2,9 @@
 // computes error-budget burn from the sums.
 #pragma once
 
-#include "core/configuration.h"
-#include "core/core_clock.h"
+#include "core/configuration/configuration.h"
 #include "ports/call_observer.h"
+#include "vocabulary/core_clock.h"
 
 #include <array>
 #include <map>
--- a/src/core/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -1,6 +1,6 @@
 // Event handlers of the call path. Each handler leaves the engine consistent before it calls a port,
 // because a port may report back from inside the call.
-#include "core/call_engine.h"
+#include "core/calls/call_engine.h"
 
 #include <algorithm>
 
--- a/src/core/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -3,17 +3,17 @@
 // effect goes through a port and every event comes in through a member function.
 #pragma once
 
-#include "core/call.h"
-#include "core/configuration.h"
-#include "core/crash_suspects.h"
-#include "core/problem.h"
-#include "core/service_state.h"
+#include "core/calls/crash_suspects.h"
+#include "core/calls/service_state.h"
+#include "core/configuration/configuration.h"
 #include "ports/call_observer.h"
 #include "ports/caller_port.h"
 #include "ports/claim_port.h"
 #include "ports/clock_port.h"
 #include "ports/random_port.h"
 #include "ports/upstream_port.h"
+#include "vocabulary/call.h"
+#include "vocabulary/problem.h"
 
 #include <functional>
 #include <map>
--- a/src/core/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -1,5 +1,5 @@
 // The engine's part that deals with time: queueing for an upstream, hedging, and deadlines.
-#include "core/call_engine.h"
+#include "core/calls/call_engine.h"
 
 #include <algorithm>
 
--- a/src/core/crash_suspects.cpp
+++ b/src/core/calls/crash_suspects.cpp
@@ -1,5 +1,5 @@
 // Strikes and their expiry.
-#include "core/crash_suspects.h"
+#include "core/calls/crash_suspects.h"
 
 #include <algorithm>
 
--- a/src/core/crash_suspects.h
+++ b/src/core/calls/crash_suspects.h
@@ -2,7 +2,7 @@
 // answer on two different upstreams is quarantined; an answer from any upstream clears it.
 #pragma once
 
-#include "core/core_clock.h"
+#include "vocabulary/core_clock.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/core/latency_window.h
+++ b/src/core/calls/latency_window.h
@@ -1,7 +1,7 @@
 // Recent latencies of one service in a fixed ring, for the hedge delay and the typical latency.
 #pragma once
 
-#include "core/core_clock.h"
+#include "vocabulary/core_clock.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/picker.h
+++ b/src/core/calls/picker.h
@@ -2,10 +2,10 @@
 // service's configuration names the one in use. docs/design/choosing-an-upstream.md compares them.
 #pragma once
 
-#include "core/configuration.h"
-#include "core/core_clock.h"
-#include "core/upstream_tracker.h"
+#include "core/configuration/configuration.h"
+#include "core/upstreams/upstream_tracker.h"
 #include "ports/random_port.h"
+#include "vocabulary/core_clock.h"
 
 #include <concepts>
 #include <limits>
--- a/src/core/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -1,5 +1,5 @@
 // Choice of an upstream among those with room, and the upkeep of a service's trackers.
-#include "core/service_state.h"
+#include "core/calls/service_state.h"
 
 #include <algorithm>
 
--- a/src/core/service_state.h
+++ b/src/core/calls/service_state.h
@@ -1,12 +1,12 @@
 // What a node holds for one service: its settings, its upstreams, the calls that wait, and its budgets.
 #pragma once
 
-#include "core/call.h"
-#include "core/configuration.h"
-#include "core/latency_window.h"
-#include "core/picker.h"
-#include "core/share_budget.h"
-#include "core/upstream_tracker.h"
+#include "core/calls/latency_window.h"
+#include "core/calls/picker.h"
+#include "core/calls/share_budget.h"
+#include "core/configuration/configuration.h"
+#include "core/upstreams/upstream_tracker.h"
+#include "vocabulary/call.h"
 
 #include <algorithm>
 #include <deque>
--- a/src/core/claim_ledger.cpp
+++ b/src/core/claims/claim_ledger.cpp
@@ -1,5 +1,5 @@
 // One read-decide-write cycle per shard at a time.
-#include "core/claim_ledger.h"
+#include "core/claims/claim_ledger.h"
 
 #include <algorithm>
 
--- a/src/core/claim_ledger.h
+++ b/src/core/claims/claim_ledger.h
@@ -4,7 +4,7 @@
 // reasons and model/claims.pml the checked model.
 #pragma once
 
-#include "core/claim_shard.h"
+#include "core/claims/claim_shard.h"
 #include "ports/claim_port.h"
 #include "ports/clock_port.h"
 #include "ports/key_value_port.h"
--- a/src/core/claim_shard.cpp
+++ b/src/core/claims/claim_shard.cpp
@@ -1,7 +1,7 @@
 // Encoding of claim shards with nlohmann-json's CBOR codec.
-#include "core/claim_shard.h"
+#include "core/claims/claim_shard.h"
 
-#include "core/stable_hash.h"
+#include "vocabulary/stable_hash.h"
 
 #include <cctype>
 #include <nlohmann/json.hpp>
--- a/src/core/configuration.h
+++ b/src/core/configuration/configuration.h
@@ -3,7 +3,7 @@
 // configuration_json.h and by intents; they hold no behaviour.
 #pragma once
 
-#include "core/enum_names.h"
+#include "vocabulary/enum_names.h"
 
 #include <array>
 #include <chrono>
--- a/src/core/configuration_json.cpp
+++ b/src/core/configuration/configuration_json.cpp
@@ -1,7 +1,7 @@
 // Parsing and printing of the configuration document.
-#include "core/configuration_json.h"
+#include "core/configuration/configuration_json.h"
 
-#include "core/json_reader.h"
+#include "core/configuration/json_reader.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/src/core/configuration_json.h
+++ b/src/core/configuration/configuration_json.h
@@ -1,8 +1,8 @@
 // JSON form of the configuration, used in the store, in intents and between nodes.
 #pragma once
 
-#include "core/configuration.h"
-#include "core/field_fault.h"
+#include "core/configuration/configuration.h"
+#include "core/configuration/field_fault.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/intent.cpp
+++ b/src/core/configuration/intent.cpp
@@ -1,9 +1,9 @@
 // Parsing of intents and derivation of plans.
-#include "core/intent.h"
+#include "core/configuration/intent.h"
 
-#include "core/configuration_json.h"
-#include "core/json_reader.h"
-#include "core/stable_hash.h"
+#include "core/configuration/configuration_json.h"
+#include "core/configuration/json_reader.h"
+#include "vocabulary/stable_hash.h"
 
 #include <optional>
 
--- a/src/core/intent.h
+++ b/src/core/configuration/intent.h
@@ -3,8 +3,8 @@
 // pure function of the intent and the base, so that any node can derive the same plan again.
 #pragma once
 
-#include "core/configuration.h"
-#include "core/field_fault.h"
+#include "core/configuration/configuration.h"
+#include "core/configuration/field_fault.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
--- a/src/core/json_reader.cpp
+++ b/src/core/configuration/json_reader.cpp
@@ -1,5 +1,5 @@
 // Implementation of json_reader: one check per field type.
-#include "core/json_reader.h"
+#include "core/configuration/json_reader.h"
 
 namespace anvilpost {
 
--- a/src/core/json_reader.h
+++ b/src/core/configuration/json_reader.h
@@ -1,8 +1,8 @@
 // Reads typed fields out of a JSON object and collects faults instead of stopping at the first.
 #pragma once
 
-#include "core/enum_names.h"
-#include "core/field_fault.h"
+#include "core/configuration/field_fault.h"
+#include "vocabulary/enum_names.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
--- a/src/core/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -1,7 +1,7 @@
 // Heartbeat counters decide who is alive; rendezvous hashing decides who is chosen.
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 
-#include "core/stable_hash.h"
+#include "vocabulary/stable_hash.h"
 
 #include <algorithm>
 
--- a/src/core/membership.h
+++ b/src/core/fleet/membership.h
@@ -2,8 +2,8 @@
 // watch the store. Views differ between nodes; no safety property rests on them.
 #pragma once
 
-#include "core/core_clock.h"
 #include "ports/random_port.h"
+#include "vocabulary/core_clock.h"
 
 #include <cstdint>
 #include <map>
--- a/src/core/mesh_agent.cpp
+++ b/src/core/fleet/mesh_agent.cpp
@@ -1,5 +1,5 @@
 // Handshake, heartbeats and spreading.
-#include "core/mesh_agent.h"
+#include "core/fleet/mesh_agent.h"
 
 #include <algorithm>
 
--- a/src/core/mesh_agent.h
+++ b/src/core/fleet/mesh_agent.h
@@ -2,8 +2,8 @@
 // configurations, leaving notices, strikes and probe findings. Pure logic over mesh_port.
 #pragma once
 
-#include "core/membership.h"
-#include "core/mesh_messages.h"
+#include "core/fleet/membership.h"
+#include "core/fleet/mesh_messages.h"
 #include "ports/clock_port.h"
 #include "ports/mesh_port.h"
 #include "ports/random_port.h"
--- a/src/core/mesh_messages.cpp
+++ b/src/core/fleet/mesh_messages.cpp
@@ -1,5 +1,5 @@
 // CBOR form of the mesh messages. Short keys keep heartbeats small.
-#include "core/mesh_messages.h"
+#include "core/fleet/mesh_messages.h"
 
 namespace anvilpost {
 namespace {
--- a/src/core/mesh_messages.h
+++ b/src/core/fleet/mesh_messages.h
@@ -2,7 +2,7 @@
 // version, an unknown type or a field of the wrong type makes the whole message unreadable.
 #pragma once
 
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
--- a/src/core/probe_scheduler.cpp
+++ b/src/core/upstreams/probe_scheduler.cpp
@@ -1,5 +1,5 @@
 // Spacing of probes and the choice of what to probe.
-#include "core/probe_scheduler.h"
+#include "core/upstreams/probe_scheduler.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/probe_scheduler.h
+++ b/src/core/upstreams/probe_scheduler.h
@@ -3,9 +3,9 @@
 // part or are replaced. docs/design/measuring.md compares the ways; model/probes.pml checks this one.
 #pragma once
 
-#include "core/configuration.h"
-#include "core/membership.h"
-#include "core/service_state.h"
+#include "core/calls/service_state.h"
+#include "core/configuration/configuration.h"
+#include "core/fleet/membership.h"
 
 #include <map>
 #include <optional>
--- a/src/core/slot_ownership.cpp
+++ b/src/core/upstreams/slot_ownership.cpp
@@ -1,7 +1,7 @@
 // Ordered division of slots.
-#include "core/slot_ownership.h"
+#include "core/upstreams/slot_ownership.h"
 
-#include "core/stable_hash.h"
+#include "vocabulary/stable_hash.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/core/slot_ownership.h
+++ b/src/core/upstreams/slot_ownership.h
@@ -3,7 +3,7 @@
 // the same slot, which then costs a wait and nothing else.
 #pragma once
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 
 #include <map>
 #include <string>
--- a/src/core/upstream_tracker.cpp
+++ b/src/core/upstreams/upstream_tracker.cpp
@@ -1,5 +1,5 @@
 // Smoothing, ejection and ramps of one upstream.
-#include "core/upstream_tracker.h"
+#include "core/upstreams/upstream_tracker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/upstream_tracker.h
+++ b/src/core/upstreams/upstream_tracker.h
@@ -2,8 +2,8 @@
 // last load report, and whether the upstream is leaving.
 #pragma once
 
-#include "core/call.h"
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
+#include "vocabulary/call.h"
 
 #include <string>
 
--- a/src/core/vm_list.cpp
+++ b/src/core/upstreams/vm_list.cpp
@@ -1,5 +1,5 @@
 // Matching of list entries with configured upstreams.
-#include "core/vm_list.h"
+#include "core/upstreams/vm_list.h"
 
 namespace anvilpost {
 namespace {
--- a/src/core/vm_list.h
+++ b/src/core/upstreams/vm_list.h
@@ -1,7 +1,7 @@
 // The platform's list of VMs, as far as it concerns upstreams: which of them are leaving.
 #pragma once
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
--- a/src/daemon/burn_collector.h
+++ b/src/daemon/burn_collector.h
@@ -3,8 +3,8 @@
 
 #include "adapters/event/event_loop.h"
 #include "adapters/operators/intent_service.h"
-#include "core/burn_ledger.h"
-#include "core/membership.h"
+#include "core/burn/burn_ledger.h"
+#include "core/fleet/membership.h"
 
 #include <functional>
 #include <vector>
--- a/src/daemon/fleet_member.cpp
+++ b/src/daemon/fleet_member.cpp
@@ -2,9 +2,9 @@
 #include "daemon/fleet_member.h"
 
 #include "adapters/logging/json_log.h"
-#include "core/configuration_json.h"
-#include "core/slot_ownership.h"
-#include "core/vm_list.h"
+#include "core/configuration/configuration_json.h"
+#include "core/upstreams/slot_ownership.h"
+#include "core/upstreams/vm_list.h"
 
 namespace anvilpost {
 namespace {
--- a/src/daemon/fleet_member.h
+++ b/src/daemon/fleet_member.h
@@ -3,12 +3,12 @@
 
 #include "adapters/event/event_loop.h"
 #include "adapters/mesh/mesh_transport.h"
-#include "adapters/platform/configuration_follower.h"
-#include "adapters/platform/consul_store.h"
-#include "core/call_engine.h"
-#include "core/claim_ledger.h"
-#include "core/mesh_agent.h"
-#include "core/probe_scheduler.h"
+#include "adapters/store/configuration_follower.h"
+#include "adapters/store/consul_store.h"
+#include "core/calls/call_engine.h"
+#include "core/claims/claim_ledger.h"
+#include "core/fleet/mesh_agent.h"
+#include "core/upstreams/probe_scheduler.h"
 #include "daemon/settings.h"
 
 namespace anvilpost {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -4,7 +4,7 @@
 
 #include "adapters/http/caller_server.h"
 #include "adapters/logging/json_log.h"
-#include "adapters/platform/consul_store.h"
+#include "adapters/store/consul_store.h"
 
 #include <string>
 #include <vector>
--- a/src/ports/caller_port.h
+++ b/src/ports/caller_port.h
@@ -1,8 +1,8 @@
 // Port through which the core answers callers.
 #pragma once
 
-#include "core/call.h"
-#include "core/problem.h"
+#include "vocabulary/call.h"
+#include "vocabulary/problem.h"
 
 namespace anvilpost {
 
--- a/src/ports/claim_port.h
+++ b/src/ports/claim_port.h
@@ -1,7 +1,7 @@
 // Port through which the core claims the sole right to run an unrepeatable request.
 #pragma once
 
-#include "core/call.h"
+#include "vocabulary/call.h"
 
 namespace anvilpost {
 
--- a/src/ports/clock_port.h
+++ b/src/ports/clock_port.h
@@ -1,7 +1,7 @@
 // Port through which the core learns the time.
 #pragma once
 
-#include "core/core_clock.h"
+#include "vocabulary/core_clock.h"
 
 namespace anvilpost {
 
--- a/src/ports/key_value_port.h
+++ b/src/ports/key_value_port.h
@@ -1,7 +1,7 @@
 // Port to the platform's key-value service: reads, watches, and writes by compare-and-swap.
 #pragma once
 
-#include "core/core_clock.h"
+#include "vocabulary/core_clock.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/ports/upstream_port.h
+++ b/src/ports/upstream_port.h
@@ -1,7 +1,7 @@
 // Port through which the core starts and cancels attempts at upstreams.
 #pragma once
 
-#include "core/call.h"
+#include "vocabulary/call.h"
 
 namespace anvilpost {
 
--- a/src/core/call.h
+++ b/src/vocabulary/call.h
@@ -1,9 +1,9 @@
 // Vocabulary of the call path: calls, attempts at upstreams, and how attempts end.
 #pragma once
 
-#include "core/core_clock.h"
-#include "core/enum_names.h"
-#include "core/verdict.h"
+#include "vocabulary/core_clock.h"
+#include "vocabulary/enum_names.h"
+#include "vocabulary/verdict.h"
 
 #include <array>
 #include <cstdint>
--- a/src/core/problem.cpp
+++ b/src/vocabulary/problem.cpp
@@ -1,5 +1,5 @@
 // Status codes and JSON form of problems.
-#include "core/problem.h"
+#include "vocabulary/problem.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/problem.h
+++ b/src/vocabulary/problem.h
@@ -1,7 +1,7 @@
 // Errors that anvilpost itself answers with, as RFC 9457 problem details plus a verdict.
 #pragma once
 
-#include "core/verdict.h"
+#include "vocabulary/verdict.h"
 
 #include <chrono>
 #include <optional>
--- a/src/core/stable_hash.cpp
+++ b/src/vocabulary/stable_hash.cpp
@@ -1,5 +1,5 @@
 // Hexadecimal form of the stable hash.
-#include "core/stable_hash.h"
+#include "vocabulary/stable_hash.h"
 
 #include <cstdio>
 
--- a/src/core/verdict.h
+++ b/src/vocabulary/verdict.h
@@ -2,7 +2,7 @@
 // anvilpost generates carries one.
 #pragma once
 
-#include "core/enum_names.h"
+#include "vocabulary/enum_names.h"
 
 #include <array>
 
--- a/testing/load/latency_report.h
+++ b/testing/load/latency_report.h
@@ -1,7 +1,7 @@
 // Latencies and outcomes of a load run.
 #pragma once
 
-#include "core/core_clock.h"
+#include "vocabulary/core_clock.h"
 
 #include <algorithm>
 #include <map>
--- a/testing/platform/main.cpp
+++ b/testing/platform/main.cpp
@@ -1,8 +1,8 @@
 // Stand-in for the platform: the subset of Consul's HTTP API that anvilpost uses, with faults that can
 // be switched while it runs. One process can listen on several ports that share their data but have
 // faults of their own, so that the store can be down for some nodes only.
-#include "adapters/platform/base64.h"
 #include "adapters/settings_source.h"
+#include "adapters/store/base64.h"
 #include "stand_in_server.h"
 
 #include <absl/flags/flag.h>
--- a/testing/scenario/world.h
+++ b/testing/scenario/world.h
@@ -2,8 +2,8 @@
 // and a store made of fakes. Every run of a scenario gives the same result.
 #pragma once
 
-#include "core/call_engine.h"
-#include "core/claim_ledger.h"
+#include "core/calls/call_engine.h"
+#include "core/claims/claim_ledger.h"
 
 #include <deque>
 #include <functional>
--- a/tests/adapters/intent_service_test.cpp
+++ b/tests/adapters/intent_service_test.cpp
@@ -1,7 +1,7 @@
 // Tests of intent, plan, confirm against a mocked store: lost answers, moved bases, outages.
 #include "adapters/operators/intent_service.h"
 
-#include "core/configuration_json.h"
+#include "core/configuration/configuration_json.h"
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
--- a/tests/core/burn_ledger_test.cpp
+++ b/tests/core/burn_ledger_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the burn ledger: windows, merging, rates, alerts.
-#include "core/burn_ledger.h"
+#include "core/burn/burn_ledger.h"
 #include "core/fakes.h"
 
 #include <catch2/catch.hpp>
--- a/tests/core/claim_ledger_test.cpp
+++ b/tests/core/claim_ledger_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the claim ledger: at most one grant per key under lost, late, stale and refused operations.
-#include "core/claim_ledger.h"
+#include "core/claims/claim_ledger.h"
 #include "core/fake_store.h"
 #include "core/fakes.h"
 
--- a/tests/core/fakes.h
+++ b/tests/core/fakes.h
@@ -1,7 +1,7 @@
 // Fakes of the core's ports, driven in virtual time.
 #pragma once
 
-#include "core/call_engine.h"
+#include "core/calls/call_engine.h"
 #include "support/split_mix.h"
 
 #include <algorithm>
--- a/tests/core/intent_test.cpp
+++ b/tests/core/intent_test.cpp
@@ -1,6 +1,6 @@
 // Tests of intents and plans.
-#include "core/configuration_json.h"
-#include "core/intent.h"
+#include "core/configuration/configuration_json.h"
+#include "core/configuration/intent.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/mesh_agent_test.cpp
+++ b/tests/core/mesh_agent_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the mesh agent with several agents joined by a fake port in virtual time.
 #include "core/fakes.h"
-#include "core/mesh_agent.h"
+#include "core/fleet/mesh_agent.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/tests/core/picker_test.cpp
+++ b/tests/core/picker_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the rules for choosing an upstream.
-#include "core/picker.h"
+#include "core/calls/picker.h"
 #include "support/split_mix.h"
 
 #include <catch2/catch.hpp>
--- a/tests/core/probe_scheduler_test.cpp
+++ b/tests/core/probe_scheduler_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the probe scheduler: the budget in every window, with any nodes paused or replaced.
 #include "core/fakes.h"
-#include "core/probe_scheduler.h"
+#include "core/upstreams/probe_scheduler.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/tests/core/slot_ownership_test.cpp
+++ b/tests/core/slot_ownership_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the division of slots among nodes.
-#include "core/slot_ownership.h"
+#include "core/upstreams/slot_ownership.h"
 
 #include <catch2/catch.hpp>
 
