Planned stops end in time; calls at a fresh node wait for its configuration

Now idle connections close when the node stops accepting, 2.3 s after the signal. Cause 3: the first requests at a fresh node got 503.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -16,6 +16,12 @@
 constexpr duration sweep_period = std::chrono::milliseconds(250);
 constexpr int listen_backlog = 512;
 
+/// A node that has just started gets its configuration within this time from its peers or the store. A
+/// caller that waits for it is answered sooner than one that is told to come back.
+constexpr duration longest_wait_for_configuration = std::chrono::milliseconds(400);
+constexpr std::size_t most_waiting_for_configuration = 200;
+constexpr std::chrono::milliseconds retry_when_unconfigured{200};
+
 problem malformed(std::string detail)
 {
     return {problem_kind::malformed_request, verdict::not_run, std::move(detail), std::nullopt};
@@ -49,7 +55,8 @@
                              const std::string& ip, std::uint16_t port, const caller_limits& limits,
                              const header_names& names, std::string node)
     : loop_(loop), clock_(clock), random_(random), limits_(limits), bounds_(limits.bounds_), names_(names),
-      node_(std::move(node)), sweep_timer_(loop, [this] { sweep(); })
+      node_(std::move(node)), unconfigured_timer_(loop, [this] { refuse_unconfigured(); }),
+      sweep_timer_(loop, [this] { sweep(); })
 {
     sockaddr_storage address{};
     const int length = to_socket_address(ip, port, address);
@@ -192,13 +199,54 @@
         return;
     }
     auto& opened = open_exchange(from);
-    const auto described = describe(opened);
+    if (configured_) {
+        start(opened);
+        return;
+    }
+    unconfigured_.emplace_back(clock_.now(), opened.call_);
+    if (unconfigured_.size() > most_waiting_for_configuration) {
+        refuse_unconfigured();
+    }
+    unconfigured_timer_.start(longest_wait_for_configuration);
+}
+
+void caller_server::start(exchange& opened)
+{
+    engine_->on_call(describe(opened));
+}
+
+void caller_server::set_configured(bool configured)
+{
+    configured_ = configured;
     if (!configured_) {
-        reject(opened.call_, {problem_kind::not_configured, verdict::not_run,
-                              "this node has no configuration yet", std::chrono::milliseconds(200)});
         return;
     }
-    engine_->on_call(described);
+    const auto waiting = std::move(unconfigured_);
+    unconfigured_.clear();
+    for (const auto& [unused, call] : waiting) {
+        if (auto* open = find(call)) {
+            start(*open);
+        }
+    }
+}
+
+/// Refuses the calls that have waited long enough, and the oldest where too many wait.
+void caller_server::refuse_unconfigured()
+{
+    const auto now = clock_.now();
+    std::size_t refused = 0;
+    while (refused < unconfigured_.size() &&
+           (now - unconfigured_[refused].first >= longest_wait_for_configuration ||
+            unconfigured_.size() - refused > most_waiting_for_configuration)) {
+        reject(unconfigured_[refused].second,
+               {problem_kind::not_configured, verdict::not_run, "this node has no configuration yet",
+                retry_when_unconfigured});
+        ++refused;
+    }
+    unconfigured_.erase(unconfigured_.begin(), unconfigured_.begin() + static_cast<std::ptrdiff_t>(refused));
+    if (!unconfigured_.empty()) {
+        unconfigured_timer_.start(longest_wait_for_configuration - (now - unconfigured_.front().first));
+    }
 }
 
 void caller_server::on_bad_request(caller_connection& from, const problem& why)
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -54,8 +54,9 @@
     /// Learns the routes and the callers' limits.
     void apply(const configuration& config);
 
-    /// Until then every call is refused with `not_configured`.
-    void set_configured(bool configured) { configured_ = configured; }
+    /// While there is no configuration, calls wait for it a moment and are then refused with
+    /// `not_configured`.
+    void set_configured(bool configured);
 
     /// From now on each answer asks its caller to close the connection.
     void start_draining();
@@ -96,6 +97,8 @@
     void on_answer_progress(caller_connection& to) override;
     void on_closed(caller_connection& from) override;
 
+    void start(exchange& opened);
+    void refuse_unconfigured();
     void accept(int socket);
     void sweep();
     void answer_problem(caller_connection& to, const problem& why, const std::string& request_id);
@@ -122,6 +125,8 @@
     std::size_t held_bytes_ = 0;
     std::uint64_t next_call_ = 1;
     bool configured_ = true;
+    std::vector<std::pair<time_point, call_id>> unconfigured_; ///< Waiting since; oldest first.
+    timer unconfigured_timer_;
     bool draining_ = false;
     time_point last_request_{};
     caller_counters counters_;
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -26,6 +26,7 @@
 /// Word of loads is not passed on when older than this.
 constexpr duration oldest_load = 400ms;
 
+constexpr duration seed_period_without_view = 50ms;
 constexpr duration seed_period = 250ms;
 constexpr duration seed_period_when_known = 5s;
 constexpr std::size_t few_peers = 2;
@@ -145,7 +146,8 @@
     }
     const auto live = peers_.live(now);
     const bool know_few = live.size() < few_peers;
-    next_seeds_ = now + (know_few ? seed_period : seed_period_when_known);
+    const duration pause = know_few ? seed_period : seed_period_when_known;
+    next_seeds_ = now + (ports_.follower_.complete() ? pause : seed_period_without_view);
     for (const auto& seed : seeds_) {
         const bool known = std::any_of(live.begin(), live.end(), [&](const peer* other) {
             return other->ip_ == seed.ip_ && other->port_ == seed.port_;
--- a/src/daemon/call_path.cpp
+++ b/src/daemon/call_path.cpp
@@ -57,6 +57,9 @@
 {
     stage_ = node_stage::draining;
     callers_.stop_accepting();
+    // A request that is taken now might not be finished in time. Callers that kept a connection open hear
+    // of its end while it is idle and lose nothing.
+    callers_.close_idle_connections();
     check_drained();
 }
 
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 /// Time for peers to pass on their view before a node reads the store at its start.
-constexpr duration wait_for_peers = std::chrono::milliseconds(400);
-constexpr duration wait_for_peers_as_seed = std::chrono::milliseconds(60);
+constexpr duration wait_for_peers = std::chrono::milliseconds(180);
+constexpr duration wait_for_peers_as_seed = std::chrono::milliseconds(20);
 
 constexpr duration fetch_timeout = std::chrono::milliseconds(400);
 constexpr duration probe_choice_period = std::chrono::milliseconds(200);
