Choosing and waiting near capacity: crowding learnt, hopeless starts withheld, returns known

Change: crowding.h learns what nearly full upstreams make of a call; a call is not started where it has no chance; less urgent calls leave a part of the allowance to urgent ones; the time since a caller's first try is read off the time it has left, and corrects its objective; calls count as in time with one and a half times their work to go.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t most_waiting_for_configuration = 200;
 constexpr std::chrono::milliseconds retry_when_unconfigured{200};
 
+/// A caller that has this much less time than others of its route has tried before.
+constexpr std::chrono::milliseconds shortest_return{40};
+
 problem malformed(std::string detail)
 {
     return {problem_kind::malformed_request, verdict::not_run, std::move(detail), std::nullopt};
@@ -89,6 +92,7 @@
 void caller_server::apply(const configuration& config)
 {
     routes_.apply(config, random_);
+    longest_time_left_.clear();
     services_.clear();
     for (const auto& [name, service] : config.services_) {
         services_[name] = service;
@@ -340,7 +344,12 @@
     }
     const auto asked = parse_timeout(outgoing.headers_, names_.time_left_).value_or(route->timeout_);
     described.deadline_ = described.arrival_ + std::min(asked, route->timeout_);
-    described.objective_ = described.arrival_ + route->objective_;
+    // Callers of a route begin with the same time; what is missing has passed since their first try.
+    auto& longest = longest_time_left_[route->name_];
+    longest = std::max(longest, asked);
+    const auto passed = longest - asked;
+    described.came_back_ = passed >= shortest_return;
+    described.objective_ = described.arrival_ + route->objective_ - passed;
     return described;
 }
 
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -118,6 +118,7 @@
     call_engine* engine_ = nullptr;
     upstream_pool* pool_ = nullptr;
     route_table routes_;
+    std::unordered_map<std::string, std::chrono::milliseconds> longest_time_left_; ///< By route.
     std::unordered_map<std::string, service_config> services_;
     std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> connections_;
     std::unordered_map<caller_connection*, call_id> served_;
--- a/src/core/calls/attempt_allowance.cpp
+++ b/src/core/calls/attempt_allowance.cpp
@@ -1,8 +1,6 @@
 // Sliding window in buckets.
 #include "core/calls/attempt_allowance.h"
 
-#include <algorithm>
-
 namespace anvilpost {
 
 attempt_allowance::counts& attempt_allowance::bucket(time_point now)
@@ -15,25 +13,34 @@
     return found;
 }
 
-double attempt_allowance::left(time_point now) const
+/// The oldest bucket reaches out of the window, so its calls no longer earn.
+double attempt_allowance::earned(time_point now) const
 {
     const auto period = period_of(now);
     double calls = 0;
+    for (const auto& counted : counts_) {
+        const bool whole = counted.period_ >= 0 && period - counted.period_ < static_cast<int>(buckets);
+        calls += whole ? counted.calls_ : 0;
+    }
+    return terms_.ratio_ * calls + terms_.slack_;
+}
+
+/// The attempts of the oldest bucket still count.
+double attempt_allowance::spent(time_point now) const
+{
+    const auto period = period_of(now);
     double extra = 0;
     for (const auto& counted : counts_) {
-        const bool in_window = counted.period_ >= 0 && period - counted.period_ <= static_cast<int>(buckets);
-        if (in_window) {
-            // The oldest bucket reaches out of the window: its calls no longer earn, its attempts count.
-            calls += period - counted.period_ < static_cast<int>(buckets) ? counted.calls_ : 0;
-            extra += counted.extra_;
-        }
+        const bool touched = counted.period_ >= 0 && period - counted.period_ <= static_cast<int>(buckets);
+        extra += touched ? counted.extra_ : 0;
     }
-    return terms_.ratio_ * calls + terms_.slack_ - extra;
+    return extra;
 }
 
-bool attempt_allowance::take(time_point now)
+bool attempt_allowance::take(time_point now, double kept_part)
 {
-    if (left(now) < 1.0) {
+    const double earned_now = earned(now);
+    if (earned_now - spent(now) < 1.0 + kept_part * earned_now) {
         return false;
     }
     ++bucket(now).extra_;
--- a/src/core/calls/attempt_allowance.h
+++ b/src/core/calls/attempt_allowance.h
@@ -27,11 +27,12 @@
     /// Counts a call, which earns its part of an extra attempt.
     void credit(time_point now) { ++bucket(now).calls_; }
 
-    /// Takes one extra attempt. Returns false, taking nothing, when the allowance is used up.
-    bool take(time_point now);
+    /// Takes one extra attempt. `kept_part` of what the window has earned is left for more urgent uses.
+    /// Returns false, taking nothing, when the rest is used up.
+    bool take(time_point now, double kept_part = 0);
 
     /// Extra attempts left now.
-    [[nodiscard]] double left(time_point now) const;
+    [[nodiscard]] double left(time_point now) const { return earned(now) - spent(now); }
     [[nodiscard]] const allowance_terms& terms() const { return terms_; }
 
 private:
@@ -48,6 +49,8 @@
         return now.time_since_epoch() / (terms_.window_ / static_cast<int>(buckets));
     }
     counts& bucket(time_point now);
+    [[nodiscard]] double earned(time_point now) const;
+    [[nodiscard]] double spent(time_point now) const;
 
     allowance_terms terms_;
     std::array<counts, buckets + 1> counts_{}; ///< One more than the window, since the first is partial.
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -3,6 +3,7 @@
 #include "core/calls/call_engine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace anvilpost {
 namespace {
@@ -131,7 +132,8 @@
         return false;
     }
     auto* upstream = service->choose(state.call_, state.tried_, ports_.random_, now());
-    if (upstream == nullptr || service->better_to_wait(state.call_, *upstream, now())) {
+    if (upstream == nullptr || service->better_to_wait(state.call_, *upstream, now()) ||
+        service->hopeless(state.call_, *upstream, now())) {
         return false;
     }
     start_attempt(state, *service, *upstream, need);
@@ -144,8 +146,13 @@
     const attempt_id attempt{next_attempt_++};
     const bool first = state.attempts_made_ == 0;
     tell(first ? decision_kind::started : decision_kind::extra_attempt, state, &upstream, "");
-    attempts_[attempt] = {state.call_.id_, service.name(), upstream.name(),
-                          now(),           false,          upstream.work_clock(now())};
+    attempts_[attempt] = {state.call_.id_,
+                          service.name(),
+                          upstream.name(),
+                          now(),
+                          false,
+                          upstream.work_clock(now()),
+                          1 + static_cast<int>(std::lround(upstream.occupancy(now())))};
     upstream.on_started();
     state.phase_ = phase::running;
     state.active_.push_back(attempt);
@@ -189,7 +196,8 @@
     else {
         upstream->on_answer(latency, head, now());
         service->latencies_.add(latency);
-        service->learn_work(state.call_.route_, upstream->work_clock(now()) - tried.work_clock_);
+        service->learn_work(state.call_, *upstream, tried.running_,
+                            upstream->work_clock(now()) - tried.work_clock_);
     }
     if (head.load_) {
         service->on_load(*upstream, *head.load_, now());
@@ -252,7 +260,7 @@
     if (!room_now && !service.uses_present_speed()) {
         return false;
     }
-    if (!service.retries_.take(now())) {
+    if (!service.take_retry(state.call_, now())) {
         return false;
     }
     drop_attempt(failed);
@@ -355,7 +363,7 @@
         service->has_receiver(state.tried_) && !suspects_.quarantined(state.call_.fingerprint_, now()) &&
         now() < state.call_.deadline_;
     const bool counts_as_extra = kind != problem_kind::upstream_unreachable;
-    if (!allowed || (counts_as_extra && !service->retries_.take(now()))) {
+    if (!allowed || (counts_as_extra && !service->take_retry(state.call_, now()))) {
         reject(state, kind, std::move(detail));
         return;
     }
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -135,6 +135,7 @@
         time_point started_{};
         bool answered_ = false;
         duration work_clock_{}; ///< Of the upstream at the start.
+        int running_ = 1;       ///< Calls there at the start, this one included.
     };
 
     void enqueue(call_state& state);
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -51,8 +51,8 @@
 
 waiting_call call_engine::as_waiting(const call_state& state, const service_state& service) const
 {
-    return {state.call_.id_, state.call_.priority_, state.call_.objective_, state.call_.deadline_,
-            service.work_of(state.call_)};
+    return {state.call_.id_,       state.call_.priority_,  state.call_.objective_,
+            state.call_.deadline_, state.call_.came_back_, service.work_of(state.call_)};
 }
 
 bool call_engine::may_wait(const call_state& state, const service_state& service) const
@@ -143,7 +143,7 @@
         return;
     }
     if (service->choose(state.call_, state.tried_, ports_.random_, now()) == nullptr ||
-        !service->hedges().take(now())) {
+        !service->take_hedge(now())) {
         return;
     }
     try_start(state, connection_need::fresh);
@@ -196,7 +196,7 @@
         if (service == nullptr || !service->uses_present_speed() || !worth_a_copy(*state, *service)) {
             continue;
         }
-        if (service->hedges().take(now())) {
+        if (service->take_hedge(now())) {
             try_start(*state, connection_need::any);
         }
     }
--- a/src/core/calls/earliest_finish.cpp
+++ b/src/core/calls/earliest_finish.cpp
@@ -1,6 +1,8 @@
 // Arithmetic of the estimate; docs/design/placing.md gives its derivation.
 #include "core/calls/earliest_finish.h"
 
+#include "core/calls/crowding.h"
+
 namespace anvilpost {
 namespace {
 
@@ -10,9 +12,9 @@
 /// second, and a call meets a spell in its middle.
 constexpr duration speed_spell = 250ms;
 
-/// Part of a call's work by which a full upstream is worse than an empty one; some slow down when nearly
-/// full.
-constexpr double crowding = 0.25;
+/// Part of a call's work by which a full upstream is worse than an empty one: what a node knows of its load
+/// is a little old.
+constexpr double load_part_of_work = 0.25;
 
 /// Factor on work at an upstream that has just started.
 constexpr double cold_slowdown = 2.0;
@@ -55,9 +57,13 @@
     if (upstream.warming_up(context.now_)) {
         speed *= cold_slowdown;
     }
+    if (occupied + 1 > crowding::comfortable(upstream.slots(context.slots_))) {
+        speed *= context.crowding_factor_;
+    }
     const duration run = expected_duration(context.work_, speed, std::max(1.0, context.typical_slowdown_));
     const double turns_ahead = std::max(0.0, occupied + 1 - slots) / slots;
-    duration total = run + scaled(run, turns_ahead) + scaled(context.work_, crowding * occupied / slots);
+    duration total =
+        run + scaled(run, turns_ahead) + scaled(context.work_, load_part_of_work * occupied / slots);
     if (!context.data_centre_.empty() && upstream.config().data_centre_ != context.data_centre_) {
         total += remote_trip + scaled(context.work_, remote_part_of_work);
     }
--- a/src/core/calls/picker.h
+++ b/src/core/calls/picker.h
@@ -23,6 +23,7 @@
     int slots_ = 1;                 ///< Calls one upstream works on at the same time.
     duration work_{};               ///< What the call takes at an upstream of usual speed.
     double typical_slowdown_ = 1.0; ///< Mean over the service's upstreams and the last seconds.
+    double crowding_factor_ = 1.0;  ///< Slowdown of an upstream that is nearly full.
     std::string data_centre_{};     ///< Of this node; empty where it does not matter.
     bool repeatable_ = true;
 };
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -22,9 +22,18 @@
 /// Nodes among which shares are divided at least, since a node that has just started knows few others.
 constexpr std::size_t fewest_shares = 8;
 
+/// Part of the allowance that each step of priority leaves to the more urgent ones, and that hedges leave.
+constexpr double kept_per_priority = 0.1;
+constexpr int lowest_priority = 4;
+constexpr double kept_from_hedges = 0.3;
+
 /// A route's work before any call was served, as a part of its objective.
 constexpr int objective_parts_of_work = 3;
 
+constexpr double half_a_call = 0.5;
+
+/// A call that would need less than this part of its estimate to be answered in time is not started.
+constexpr double hopeful_part_of_estimate = 0.5;
 constexpr double learning_weight = 0.05;
 constexpr double highest_sample_factor = 3.0; ///< One call counts at most as this multiple of the estimate.
 constexpr double typical_slowdown_weight = 0.005;
@@ -98,7 +107,8 @@
         return false;
     }
     if (uses_present_speed()) {
-        return upstream.occupancy(now) < upstream.slots(config_.policy_.slots_);
+        // Part of a call is what a decaying report leaves behind; it takes no slot.
+        return upstream.occupancy(now) <= best_running(upstream) - half_a_call;
     }
     return upstream.in_flight() < config_.policy_.slots_;
 }
@@ -125,6 +135,12 @@
     });
 }
 
+int service_state::usual_slots() const
+{
+    return upstreams_.empty() ? config_.policy_.slots_
+                              : upstreams_.begin()->second->slots(config_.policy_.slots_);
+}
+
 pick_context service_state::context_for(const call& wanted, time_point now) const
 {
     const auto typical = latencies_.empty() ? latency_before_first_answer : latencies_.median();
@@ -133,6 +149,7 @@
             config_.policy_.slots_,
             work_of(wanted),
             typical_slowdown_,
+            crowding_.factor(usual_slots()),
             position_.data_centre_,
             wanted.repeatable_};
 }
@@ -168,12 +185,22 @@
     if (now + finish <= wanted.objective_ || now >= wanted.objective_) {
         return false;
     }
-    const waiting_call as_waiting{wanted.id_, wanted.priority_, wanted.objective_, wanted.deadline_,
-                                  context.work_};
+    const waiting_call as_waiting{wanted.id_,       wanted.priority_,  wanted.objective_,
+                                  wanted.deadline_, wanted.came_back_, context.work_};
     const duration wait = expected_queue_wait(line_.ahead_of(as_waiting, now));
     return wait + context.work_ < finish && now + wait + context.work_ <= wanted.objective_;
 }
 
+bool service_state::hopeless(const call& wanted, const upstream_tracker& offered, time_point now) const
+{
+    if (!uses_present_speed()) {
+        return false;
+    }
+    const auto finish = static_cast<double>(expected_finish(offered, context_for(wanted, now)).count());
+    const auto least = duration(static_cast<duration::rep>(finish * hopeful_part_of_estimate));
+    return now + least > wanted.deadline_;
+}
+
 bool service_state::has_receiver(const std::set<std::string>& tried) const
 {
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
@@ -196,9 +223,16 @@
     }
 }
 
-void service_state::learn_work(const std::string& route, duration work)
+void service_state::learn_work(const call& served, const upstream_tracker& upstream, int running,
+                               duration work)
 {
-    const auto [entry, first] = work_by_route_.try_emplace(route, work);
+    const int slots = upstream.slots(config_.policy_.slots_);
+    if (running > crowding::comfortable(slots)) {
+        const auto usual = static_cast<double>(work_of(served).count());
+        crowding_.learn(running, slots, static_cast<double>(work.count()) / usual);
+        return;
+    }
+    const auto [entry, first] = work_by_route_.try_emplace(served.route_, work);
     if (first) {
         return;
     }
@@ -226,7 +260,9 @@
 {
     double slots = 0;
     for (const auto& [unused, tracker] : upstreams_) {
-        slots += tracker->receives_calls() ? tracker->slots(config_.policy_.slots_) : 0;
+        const int usable =
+            uses_present_speed() ? best_running(*tracker) : tracker->slots(config_.policy_.slots_);
+        slots += tracker->receives_calls() ? usable : 0;
     }
     return uses_present_speed() ? slots / static_cast<double>(position_.nodes_) : slots;
 }
@@ -242,6 +278,18 @@
     return duration(static_cast<duration::rep>(median * turns / share));
 }
 
+bool service_state::take_retry(const call& wanted, time_point now)
+{
+    const bool shared = config_.policy_.shared_allowance_;
+    const double kept = shared ? kept_per_priority * std::min(wanted.priority_, lowest_priority) : 0.0;
+    return retries_.take(now, kept);
+}
+
+bool service_state::take_hedge(time_point now)
+{
+    return hedges().take(now, config_.policy_.shared_allowance_ ? kept_from_hedges : 0.0);
+}
+
 duration service_state::failure_penalty() const
 {
     const auto typical = latencies_.empty() ? latency_before_first_answer : latencies_.p95();
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -3,6 +3,7 @@
 
 #include "core/calls/any_picker.h"
 #include "core/calls/attempt_allowance.h"
+#include "core/calls/crowding.h"
 #include "core/calls/latency_window.h"
 #include "core/calls/waiting_line.h"
 #include "core/configuration/configuration.h"
@@ -56,6 +57,9 @@
     [[nodiscard]] bool better_to_wait(const call& wanted, const upstream_tracker& offered,
                                       time_point now) const;
 
+    /// True when `offered` could hardly answer before the call's deadline: a slot there is better left free.
+    [[nodiscard]] bool hopeless(const call& wanted, const upstream_tracker& offered, time_point now) const;
+
     [[nodiscard]] upstream_tracker* find(const std::string& upstream);
     [[nodiscard]] const std::map<std::string, std::unique_ptr<upstream_tracker>>& upstreams() const
     {
@@ -67,8 +71,9 @@
     /// Takes over a load report of one of the upstreams.
     void on_load(upstream_tracker& upstream, const load_report& report, time_point taken);
 
-    /// Learns from a served call how much work calls of its route are.
-    void learn_work(const std::string& route, duration work);
+    /// Learns from a served call how much work calls of its route are, and what a nearly full upstream
+    /// makes of it. `running` calls were there when it began, itself included.
+    void learn_work(const call& served, const upstream_tracker& upstream, int running, duration work);
 
     /// What a call of the route takes at an upstream of usual speed; a part of its objective until learnt.
     [[nodiscard]] duration work_of(const call& wanted) const;
@@ -96,6 +101,13 @@
         return config_.policy_.shared_allowance_ ? retries_ : hedges_;
     }
 
+    /// Takes an extra attempt for a call that was refused or failed. Less urgent calls leave a part of the
+    /// allowance to more urgent ones.
+    bool take_retry(const call& wanted, time_point now);
+
+    /// Takes one for a call that still runs; most of the allowance is left to calls that have failed.
+    bool take_hedge(time_point now);
+
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] const service_config& config() const { return config_; }
     [[nodiscard]] double typical_slowdown() const { return typical_slowdown_; }
@@ -105,6 +117,11 @@
     latency_window latencies_;
 
 private:
+    [[nodiscard]] int best_running(const upstream_tracker& upstream) const
+    {
+        return crowding_.best(upstream.slots(config_.policy_.slots_));
+    }
+    [[nodiscard]] int usual_slots() const;
     [[nodiscard]] bool has_room(const upstream_tracker& upstream, time_point now) const;
 
     /// True when failures keep every upstream out. Then each one is tried with a single call at a time.
@@ -118,6 +135,7 @@
     fleet_position position_;
     attempt_allowance hedges_;
     double typical_slowdown_ = 1.0;
+    crowding crowding_;
     std::map<std::string, duration> work_by_route_;
     std::map<std::string, std::unique_ptr<upstream_tracker>> upstreams_;
 };
--- a/src/core/calls/waiting_line.h
+++ b/src/core/calls/waiting_line.h
@@ -15,17 +15,23 @@
     int priority_ = 0;
     time_point objective_{};
     time_point deadline_{};
+    bool came_back_ = false;
     duration work_{}; ///< What the call is expected to take once it runs.
 };
 
-/// True when a call that starts now can be answered within its latency objective.
+/// Time that a call needs before its objective, in halves of its expected work: calls vary, and one that
+/// starts with no time to spare is late as often as not.
+constexpr int halves_of_work_needed = 3;
+
+/// True when a call that starts now can be expected to be answered within its latency objective.
 inline bool can_meet_objective(const waiting_call& waiting, time_point now)
 {
-    return now + waiting.work_ <= waiting.objective_;
+    return now + waiting.work_ * halves_of_work_needed / 2 <= waiting.objective_;
 }
 
-/// Calls that can still meet their objective go first, the most urgent priority and then the earliest
-/// objective before others; calls that will be late follow, by priority and deadline.
+/// Calls that can still meet their objective go first, by priority; calls that will be late follow, by
+/// priority too. Within a priority those that came back go before new ones, then the earliest objective or
+/// deadline decides.
 /// Invariant: holds each call at most once.
 class waiting_line {
 public:
@@ -81,6 +87,9 @@
         if (a.priority_ != b.priority_) {
             return a.priority_ < b.priority_;
         }
+        if (a.came_back_ != b.came_back_) {
+            return a.came_back_;
+        }
         return a_in_time ? a.objective_ < b.objective_ : a.deadline_ < b.deadline_;
     }
 
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -25,6 +25,7 @@
     std::string route_;             ///< Name of the route that matched; calls of a route cost alike.
     std::string request_id_;        ///< For logs.
     int priority_ = 0;              ///< 0 is the most urgent.
+    bool came_back_ = false;        ///< The caller was answered before and sends the request again.
     int max_attempts_ = 3;          ///< Upstreams that the request may be sent to.
     time_point arrival_{};
     time_point objective_{}; ///< An answer by then is worth most to the caller.
