--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -59,6 +59,7 @@
             service.drop_finished_upstreams();
         }
     }
+    suspects_.set_strikes_to_quarantine(static_cast<std::size_t>(config.fleet_.strikes_to_quarantine_));
     set_position(position_);
     for (auto& [unused, service] : services_) {
         serve_waiting(service);
@@ -82,7 +83,7 @@
         service->hedges().credit(now());
     }
     if (suspects_.quarantined(request.fingerprint_, now())) {
-        reject(state, problem_kind::quarantined, "this request broke two upstreams that ran it");
+        reject(state, problem_kind::quarantined, "this request broke the upstreams that ran it");
         return;
     }
     if (!service->has_receiver({})) {
--- a/src/core/calls/crash_suspects.cpp
+++ b/src/core/calls/crash_suspects.cpp
@@ -37,7 +37,7 @@
 bool crash_suspects::quarantined(std::uint64_t fingerprint, time_point now) const
 {
     const auto found = suspects_.find(fingerprint);
-    return found != suspects_.end() && found->second.upstreams_.size() >= strikes_to_quarantine &&
+    return found != suspects_.end() && found->second.upstreams_.size() >= strikes_to_quarantine_ &&
            now - found->second.last_strike_ <= strike_life;
 }
 
--- a/src/core/configuration/configuration.h
+++ b/src/core/configuration/configuration.h
@@ -139,6 +139,8 @@
 
 /// Bounds that concern the fleet of nodes as a whole.
 struct fleet_config {
+    /// Upstreams that a request must break before it is taken for one that crashes them.
+    int strikes_to_quarantine_ = 2;
     int max_nodes_ = 20; ///< Most nodes that run at the same time; probe budgets are shared among so many.
 
     bool operator==(const fleet_config&) const = default;
--- a/src/core/configuration/configuration_json.cpp
+++ b/src/core/configuration/configuration_json.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
+#include <set>
 
 namespace anvilpost {
 namespace {
@@ -13,6 +14,10 @@
 constexpr int max_timeout_ms = 3'600'000;
 constexpr int max_nodes = 10'000;
 constexpr int max_slots = 10'000;
+constexpr int max_strikes = 100;
+constexpr int max_attempts = 100;
+constexpr int max_priority = 1'000;
+constexpr int max_weight = 1'000'000;
 constexpr int max_connections = 100'000;
 constexpr int max_queue_length = 100'000;
 constexpr double max_probes_per_second = 10'000;
@@ -131,12 +136,83 @@
     fleet_config fleet;
     json_reader reader(document, path, faults);
     reader.integer("max_nodes", fleet.max_nodes_, 1, max_nodes);
+    reader.integer("strikes_to_quarantine", fleet.strikes_to_quarantine_, 1, max_strikes);
     reader.finish();
     return fleet;
 }
 
+std::vector<route_config> parse_routes(const nlohmann::json& document, const std::string& path,
+                                       std::vector<field_fault>& faults)
+{
+    std::vector<route_config> routes;
+    if (!document.is_array()) {
+        faults.push_back({path, "must be a list of routes"});
+        return routes;
+    }
+    for (std::size_t i = 0; i < document.size(); ++i) {
+        const std::string route_path = path + "/" + std::to_string(i);
+        route_config route;
+        json_reader reader(document[i], route_path, faults);
+        reader.required_text("name", route.name_);
+        reader.required_text("host", route.host_);
+        route.host_ = lower_case(route.host_);
+        reader.text("path_prefix", route.path_prefix_);
+        reader.named("repeat", route.repeat_);
+        reader.integer("max_attempts", route.max_attempts_, 1, max_attempts);
+        reader.milliseconds("timeout_ms", route.timeout_, 1, max_timeout_ms);
+        reader.milliseconds("objective_ms", route.objective_, 1, max_timeout_ms);
+        reader.integer("priority", route.priority_, 0, max_priority);
+        if (!route.path_prefix_.starts_with("/")) {
+            reader.fault("path_prefix", "must start with '/'");
+        }
+        const auto* targets = reader.child("targets");
+        if (targets == nullptr || !targets->is_array() || targets->empty()) {
+            reader.fault("targets", "must list at least one service with its weight");
+        }
+        else {
+            for (std::size_t t = 0; t < targets->size(); ++t) {
+                route_target target;
+                json_reader part((*targets)[t], route_path + "/targets/" + std::to_string(t), faults);
+                part.required_text("service", target.service_);
+                part.integer("weight", target.weight_, 1, max_weight);
+                part.finish();
+                route.targets_.push_back(std::move(target));
+            }
+        }
+        reader.finish();
+        routes.push_back(std::move(route));
+    }
+    return routes;
+}
+
+namespace {
+
+void check_routes(const configuration& config, std::vector<field_fault>& faults)
+{
+    std::set<std::string> names;
+    std::set<std::pair<std::string, std::string>> places;
+    for (std::size_t i = 0; i < config.routes_.size(); ++i) {
+        const auto& route = config.routes_[i];
+        const std::string path = "/routes/" + std::to_string(i);
+        if (!names.insert(route.name_).second) {
+            faults.push_back({path + "/name", "another route has the name '" + route.name_ + "'"});
+        }
+        if (!places.insert({route.host_, route.path_prefix_}).second) {
+            faults.push_back({path + "/path_prefix", "another route has the same host and prefix"});
+        }
+        for (const auto& target : route.targets_) {
+            if (!config.services_.contains(target.service_)) {
+                faults.push_back({path + "/targets", "no service '" + target.service_ + "'"});
+            }
+        }
+    }
+}
+
+} // namespace
+
 void check_across_services(const configuration& config, std::vector<field_fault>& faults)
 {
+    check_routes(config, faults);
     std::map<std::string, std::string> service_of_host;
     for (const auto& [name, service] : config.services_) {
         for (const auto& host : service.hosts_) {
@@ -166,6 +242,9 @@
     if (const auto* fleet = reader.child("fleet")) {
         config.fleet_ = parse_fleet(*fleet, "/fleet", faults);
     }
+    if (const auto* routes = reader.child("routes")) {
+        config.routes_ = parse_routes(*routes, "/routes", faults);
+    }
     if (const auto* applied = reader.child("applied"); applied != nullptr && applied->is_array()) {
         for (std::size_t i = 0; i < applied->size(); ++i) {
             applied_plan plan;
@@ -198,7 +277,24 @@
 
 nlohmann::json to_json(const fleet_config& fleet)
 {
-    return {{"max_nodes", fleet.max_nodes_}};
+    return {{"max_nodes", fleet.max_nodes_}, {"strikes_to_quarantine", fleet.strikes_to_quarantine_}};
+}
+
+nlohmann::json to_json(const route_config& route)
+{
+    nlohmann::json document{{"name", route.name_},
+                            {"host", route.host_},
+                            {"path_prefix", route.path_prefix_},
+                            {"targets", nlohmann::json::array()},
+                            {"repeat", name_of(route.repeat_)},
+                            {"max_attempts", route.max_attempts_},
+                            {"timeout_ms", route.timeout_.count()},
+                            {"objective_ms", route.objective_.count()},
+                            {"priority", route.priority_}};
+    for (const auto& target : route.targets_) {
+        document["targets"].push_back({{"service", target.service_}, {"weight", target.weight_}});
+    }
+    return document;
 }
 
 nlohmann::json to_json(const service_config& service)
@@ -236,6 +332,9 @@
     for (const auto& [name, service] : config.services_) {
         document["services"][name] = to_json(service);
     }
+    for (const auto& route : config.routes_) {
+        document["routes"].push_back(to_json(route));
+    }
     for (const auto& plan : config.applied_) {
         document["applied"].push_back({{"id", plan.id_}, {"revision", plan.revision_}});
     }
--- a/src/core/configuration/configuration_json.h
+++ b/src/core/configuration/configuration_json.h
@@ -23,6 +23,10 @@
 fleet_config parse_fleet(const nlohmann::json& document, const std::string& path,
                          std::vector<field_fault>& faults);
 
+/// Parses a list of routes at JSON pointer `path`; faults are appended to `faults`.
+std::vector<route_config> parse_routes(const nlohmann::json& document, const std::string& path,
+                                       std::vector<field_fault>& faults);
+
 /// Appends the faults that concern more than one service, such as a host claimed twice.
 void check_across_services(const configuration& config, std::vector<field_fault>& faults);
 
@@ -30,5 +34,6 @@
 nlohmann::json to_json(const service_config& service);
 nlohmann::json to_json(const upstream_config& upstream);
 nlohmann::json to_json(const fleet_config& fleet);
+nlohmann::json to_json(const route_config& route);
 
 } // namespace anvilpost
--- a/src/core/configuration/intent.cpp
+++ b/src/core/configuration/intent.cpp
@@ -33,6 +33,16 @@
         reader.finish();
         return wanted;
     }
+    if (wanted.kind_ == change_kind::put_routes) {
+        if (const auto* value = reader.child("value")) {
+            wanted.routes_value_ = parse_routes(*value, path + "/value", faults);
+        }
+        else {
+            reader.fault("value", "is required");
+        }
+        reader.finish();
+        return wanted;
+    }
     reader.required_text("service", wanted.service_);
     const bool names_upstream =
         wanted.kind_ != change_kind::put_service && wanted.kind_ != change_kind::remove_service;
@@ -74,6 +84,7 @@
     {
         switch (wanted.kind_) {
         case change_kind::put_fleet: config_.fleet_ = wanted.fleet_value_; return;
+        case change_kind::put_routes: config_.routes_ = wanted.routes_value_; return;
         case change_kind::put_service: config_.services_[wanted.service_] = wanted.service_value_; return;
         case change_kind::remove_service:
             if (config_.services_.erase(wanted.service_) == 0) {
@@ -182,10 +193,20 @@
     }
 }
 
+nlohmann::json routes_by_name(const configuration& config)
+{
+    nlohmann::json routes = nlohmann::json::object();
+    for (const auto& route : config.routes_) {
+        routes[route.name_] = to_json(route);
+    }
+    return routes;
+}
+
 std::vector<std::string> describe_differences(const configuration& before, const configuration& after)
 {
     std::vector<std::string> lines;
     describe_changed_fields("fleet", to_json(before.fleet_), to_json(after.fleet_), lines);
+    describe_changed_fields("route", routes_by_name(before), routes_by_name(after), lines);
     for (const auto& [name, service] : after.services_) {
         const auto old = before.services_.find(name);
         const service_config empty;
--- a/src/core/configuration/intent.h
+++ b/src/core/configuration/intent.h
@@ -19,18 +19,20 @@
     put_upstream,
     set_upstream_state,
     remove_upstream,
-    put_fleet
+    put_fleet,
+    put_routes
 };
 
 template <>
 struct enum_names<change_kind> {
-    static constexpr std::array<std::pair<change_kind, std::string_view>, 6> table{{
+    static constexpr std::array<std::pair<change_kind, std::string_view>, 7> table{{
         {change_kind::put_service, "put_service"},
         {change_kind::remove_service, "remove_service"},
         {change_kind::put_upstream, "put_upstream"},
         {change_kind::set_upstream_state, "set_upstream_state"},
         {change_kind::remove_upstream, "remove_upstream"},
         {change_kind::put_fleet, "put_fleet"},
+        {change_kind::put_routes, "put_routes"},
     }};
 };
 
@@ -42,6 +44,7 @@
     service_config service_value_;
     upstream_config upstream_value_;
     fleet_config fleet_value_;
+    std::vector<route_config> routes_value_; ///< All routes; replaces those in force.
     upstream_state state_ = upstream_state::active;
 };
 
--- a/tests/core/intent_test.cpp
+++ b/tests/core/intent_test.cpp
@@ -102,3 +102,41 @@
 {
     REQUIRE_THROWS_AS(parse_configuration(json{{"services", json::object()}}), invalid_document);
 }
+
+TEST_CASE("an intent puts routes, and its plan names what changes")
+{
+    configuration base;
+    base.revision_ = 3;
+    base.services_["log"].hosts_ = {"log.example"};
+    const auto wanted = parse_intent(nlohmann::json::parse(R"({"changes":[{"change":"put_routes","value":[
+        {"name":"lookups","host":"Log.Example","path_prefix":"/pens/","targets":[{"service":"log","weight":3}],
+         "repeat":"repeatable","max_attempts":2,"timeout_ms":900,"objective_ms":300,"priority":1}]}]})"));
+    const auto made = derive_plan(wanted, base);
+    REQUIRE(made.differences_.size() == 1);
+    CHECK(made.differences_.front().starts_with("~ route lookups"));
+    const auto& applied = made.result_;
+    REQUIRE(applied.routes_.size() == 1);
+    CHECK(applied.routes_.front().host_ == "log.example");
+    CHECK(parse_configuration(to_json(applied)) == applied);
+}
+
+TEST_CASE("routes that name unknown services, share a place or lack targets are refused")
+{
+    const auto fault_of = [](const char* routes) {
+        configuration base;
+        base.services_["log"].hosts_ = {"log.example"};
+        try {
+            const auto wanted = parse_intent(nlohmann::json::parse(
+                std::string(R"({"changes":[{"change":"put_routes","value":)") + routes + "}]}"));
+            derive_plan(wanted, base);
+        }
+        catch (const invalid_document& invalid) {
+            return invalid.faults().front().path_;
+        }
+        return std::string("none");
+    };
+    CHECK(fault_of(R"([{"name":"a","host":"h","targets":[{"service":"nobody"}]}])") == "/routes/0/targets");
+    CHECK(fault_of(R"([{"name":"a","host":"h","targets":[{"service":"log"}]},
+                       {"name":"b","host":"h","targets":[{"service":"log"}]}])") == "/routes/1/path_prefix");
+    CHECK(fault_of(R"([{"name":"a","host":"h"}])") == "/changes/0/value/0/targets");
+}
--- /dev/null
+++ b/tests/core/present_speed_test.cpp
@@ -0,0 +1,224 @@
+// Tests of the engine where upstreams are chosen by their present speed and load: loads at which some are
+// several times slower than usual, calls near capacity, and refusals by upstreams.
+#include "core/fakes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvilpost;
+using namespace anvilpost::testing;
+
+namespace {
+
+/// An engine with one service "desk" of upstreams u1, u2, ... that tell their load and speed.
+struct speed_bench : public engine_bench {
+    explicit speed_bench(int upstreams, int slots = 6) : engine_bench(upstreams, slots)
+    {
+        auto& policy = config_.services_["desk"].policy_;
+        policy.picker_ = picker_kind::earliest_finish;
+        policy.shared_allowance_ = true;
+        policy.retry_share_ = 0.2;
+        policy.extra_attempts_ = 100;
+        policy.queue_length_ = 1000;
+        ++config_.revision_;
+        engine_.apply(config_);
+        for (int i = 1; i <= upstreams; ++i) {
+            tell("u" + std::to_string(i), 1.0, 0, slots);
+        }
+    }
+
+    void tell(const std::string& upstream, double slowdown, double in_flight = 0, int slots = 6)
+    {
+        engine_.on_load("desk", upstream, {in_flight, slots, slowdown}, clock_.now());
+    }
+
+    call_id send_call(bool repeatable, duration objective = 300ms, duration timeout = 2s, int priority = 0)
+    {
+        call request;
+        request.id_ = call_id{next_call_++};
+        request.service_ = "desk";
+        request.route_ = "desk";
+        request.repeatable_ = repeatable;
+        request.priority_ = priority;
+        request.max_attempts_ = 2;
+        request.fingerprint_ = static_cast<std::uint64_t>(request.id_);
+        request.arrival_ = clock_.now();
+        request.objective_ = clock_.now() + objective;
+        request.deadline_ = clock_.now() + timeout;
+        engine_.on_call(request);
+        return request.id_;
+    }
+
+    /// The upstream of `attempt` says that it did not run the request.
+    void refuse(attempt_id attempt)
+    {
+        answer_head head;
+        head.status_ = 503;
+        head.not_run_ = true;
+        engine_.on_answer_started(attempt, head);
+    }
+
+    [[nodiscard]] const attempt_order& last() const { return upstreams_.last(); }
+};
+
+} // namespace
+
+TEST_CASE("calls go to upstreams that are fast now")
+{
+    speed_bench bench(3);
+    bench.tell("u1", 7.0);
+    bench.tell("u3", 7.0);
+    for (int i = 0; i < 4; ++i) {
+        bench.send_call(true);
+        REQUIRE(bench.last().upstream_ == "u2");
+    }
+}
+
+TEST_CASE("an unrepeatable call that an upstream did not run goes to another one")
+{
+    speed_bench bench(3);
+    const auto call = bench.send_call(false);
+    const auto first = bench.last();
+    bench.refuse(first.attempt_);
+    REQUIRE(bench.upstreams_.started_.size() == 2);
+    REQUIRE(bench.last().upstream_ != first.upstream_);
+    bench.answer(bench.last().attempt_);
+    REQUIRE(bench.callers_.relayed_.contains(call));
+}
+
+TEST_CASE("a call that every upstream refused is told truly that it was not run")
+{
+    speed_bench bench(3);
+    const auto call = bench.send_call(false);
+    bench.refuse(bench.last().attempt_);
+    bench.refuse(bench.last().attempt_);
+    REQUIRE(bench.upstreams_.started_.size() == 2);
+    const auto& why = bench.callers_.rejected_.at(call);
+    REQUIRE(why.verdict_ == verdict::not_run);
+    REQUIRE(status_of(why.kind_) == 503);
+    REQUIRE(why.retry_after_.has_value());
+}
+
+TEST_CASE("a repeatable call that may have run is not called not run because a later upstream refused it")
+{
+    speed_bench bench(3);
+    const auto call = bench.send_call(true);
+    bench.engine_.on_attempt_ended(bench.last().attempt_, attempt_outcome::broken);
+    bench.refuse(bench.last().attempt_);
+    REQUIRE(bench.callers_.rejected_.at(call).verdict_ == verdict::may_have_run);
+    REQUIRE(status_of(bench.callers_.rejected_.at(call).kind_) == 502);
+}
+
+TEST_CASE("an upstream at whose address another one answers gets no more calls")
+{
+    speed_bench bench(2);
+    bench.send_call(false);
+    const auto first = bench.last();
+    answer_head head;
+    head.status_ = 421;
+    head.not_run_ = true;
+    head.misdirected_ = true;
+    bench.engine_.on_answer_started(first.attempt_, head);
+    for (int i = 0; i < 6; ++i) {
+        bench.send_call(false);
+        REQUIRE(bench.last().upstream_ != first.upstream_);
+    }
+}
+
+TEST_CASE("a repeatable call is copied when its upstream turns slow, and the first answer counts")
+{
+    speed_bench bench(2);
+    const auto call = bench.send_call(true);
+    const auto first = bench.last();
+    bench.advance(20ms);
+    bench.tell(first.upstream_, 7.0, 1);
+    bench.engine_.apply_loads();
+    REQUIRE(bench.upstreams_.started_.size() == 2);
+    const auto copy = bench.last();
+    REQUIRE(copy.upstream_ != first.upstream_);
+    bench.answer(copy.attempt_);
+    REQUIRE(bench.callers_.relayed_.at(call) == copy.attempt_);
+    REQUIRE(bench.upstreams_.cancelled_ == std::vector<attempt_id>{first.attempt_});
+}
+
+TEST_CASE("an unrepeatable call is never copied")
+{
+    speed_bench bench(2);
+    bench.send_call(false);
+    bench.advance(20ms);
+    bench.tell(bench.last().upstream_, 7.0, 1);
+    bench.engine_.apply_loads();
+    REQUIRE(bench.upstreams_.started_.size() == 1);
+}
+
+TEST_CASE("with the allowance used up nothing is copied or tried again, and first attempts go on")
+{
+    speed_bench bench(3);
+    bench.config_.services_["desk"].policy_.retry_share_ = 0;
+    bench.config_.services_["desk"].policy_.extra_attempts_ = 0;
+    ++bench.config_.revision_;
+    bench.engine_.apply(bench.config_);
+    const auto call = bench.send_call(false);
+    bench.refuse(bench.last().attempt_);
+    REQUIRE(bench.upstreams_.started_.size() == 1);
+    REQUIRE(bench.callers_.rejected_.contains(call));
+    bench.send_call(true);
+    REQUIRE(bench.upstreams_.started_.size() == 2);
+}
+
+TEST_CASE("a freed slot goes to the urgent call that can still be in time")
+{
+    speed_bench bench(1, 6);
+    std::vector<attempt_id> running;
+    for (int i = 0; i < 6; ++i) {
+        bench.send_call(true);
+        running.push_back(bench.last().attempt_);
+    }
+    bench.send_call(true, 900ms, 3s, 2);
+    const auto urgent = bench.send_call(false, 900ms, 3s, 0);
+    REQUIRE(bench.upstreams_.started_.size() == 6);
+    bench.answer(running.front());
+    REQUIRE(bench.last().call_ == urgent);
+}
+
+TEST_CASE("at twice the capacity most urgent calls are in time and the others are refused early")
+{
+    // Two upstreams of 6 slots serve calls of 100 ms: 120 calls/s. 240 calls/s arrive for 3 s, half urgent.
+    speed_bench bench(2, 6);
+    std::map<call_id, std::pair<time_point, int>> sent;
+    std::multimap<time_point, attempt_id> running;
+    std::size_t seen = 0;
+    int urgent_in_time = 0;
+    int urgent = 0;
+    int refused_late = 0;
+    std::map<call_id, bool> counted;
+    for (int step = 0; step < 4000; ++step) {
+        if (step < 3000 && step % 25 < 6) {
+            const int priority = step % 2;
+            const auto id = bench.send_call(false, 300ms, 1s, priority);
+            sent[id] = {bench.clock_.now(), priority};
+            urgent += priority == 0 ? 1 : 0;
+        }
+        for (; seen < bench.upstreams_.started_.size(); ++seen) {
+            running.emplace(bench.clock_.now() + 100ms, bench.upstreams_.started_[seen].attempt_);
+        }
+        while (!running.empty() && running.begin()->first <= bench.clock_.now()) {
+            const auto attempt = running.begin()->second;
+            running.erase(running.begin());
+            bench.answer(attempt);
+        }
+        bench.advance(1ms);
+        for (const auto& [id, start] : sent) {
+            const bool served = bench.callers_.relayed_.contains(id);
+            const bool refused = bench.callers_.rejected_.contains(id);
+            if ((served || refused) && !counted[id]) {
+                counted[id] = true;
+                const auto latency = bench.clock_.now() - start.first;
+                urgent_in_time += served && start.second == 0 && latency <= 300ms ? 1 : 0;
+                refused_late += refused && latency > 700ms ? 1 : 0;
+            }
+        }
+    }
+    INFO("urgent " << urgent << ", in time " << urgent_in_time << ", refused late " << refused_late);
+    REQUIRE(urgent_in_time * 10 >= urgent * 9);
+    REQUIRE(refused_late * 10 <= static_cast<int>(sent.size()));
+}
