The clock is read without a system call

Cause: each look at CLOCK_BOOTTIME was a system call, made several times per event. Change: the steady clock plus the suspended time, which is measured at the start of events.

--- a/src/adapters/event/event_loop.h
+++ b/src/adapters/event/event_loop.h
@@ -93,18 +93,34 @@
     }
 };
 
-/// The operating system's clock that also counts the time in which the machine was suspended, so that the
-/// age of what a node knows is never understated.
+/// The steady clock plus the time in which the machine was suspended, so that the age of what a node knows
+/// is never understated. Asking the operating system for both each time would cost a system call.
 class boot_clock : public clock_port {
 public:
-    [[nodiscard]] time_point now() const override
+    boot_clock() { notice_suspension(); }
+
+    [[nodiscard]] time_point now() const override { return steady_.now() + suspended_; }
+
+    /// Must be called before the age of anything is judged, at the start of an event.
+    void notice_suspension()
     {
         timespec since_boot{};
         clock_gettime(CLOCK_BOOTTIME, &since_boot);
         const auto exact =
             std::chrono::seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec);
-        return time_point(std::chrono::duration_cast<duration>(exact));
+        const auto difference =
+            std::chrono::duration_cast<duration>(exact) - steady_.now().time_since_epoch();
+        // The two readings are microseconds apart; a suspension is longer.
+        if (difference - suspended_ > shortest_suspension) {
+            suspended_ = difference;
+        }
     }
+
+private:
+    static constexpr duration shortest_suspension = std::chrono::milliseconds(1);
+
+    steady_clock steady_;
+    duration suspended_{};
 };
 
 /// Randomness seeded by the operating system.
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -70,7 +70,7 @@
       registry_(codec, clock_, settings.follower_.lapse_grace_),
       follower_(store, clock_, random_, settings.follower_),
       datagrams_(loop, settings.peers_.ip_, settings.peers_.port_,
-                 [this](const std::string& bytes) { peers_.on_datagram(bytes); }),
+                 [this](const std::string& bytes) { on_datagram(bytes); }),
       peers_({clock_, random_, datagrams_, follower_, path_.engine()}, describe_self(settings)),
       prober_(loop, clock_, settings.call_path_.names_,
               [this](const probe_target& target, const probe_finding& finding) {
@@ -116,8 +116,15 @@
     return cut_off == 0 ? 0 : 1;
 }
 
+void registry_node::on_datagram(const std::string& bytes)
+{
+    clock_.notice_suspension();
+    peers_.on_datagram(bytes);
+}
+
 void registry_node::on_tick()
 {
+    clock_.notice_suspension();
     peers_.on_tick();
     follower_.on_tick();
     if (registry_.drop_lapsed()) {
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -69,6 +69,7 @@
 
 private:
     void on_tick();
+    void on_datagram(const std::string& bytes);
     void on_probe_finding(const probe_target& target, const probe_finding& finding);
     void choose_probe_targets();
     void fetch_view(const peer& from, std::uint64_t after_revision);
