--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -56,7 +56,7 @@
 
 duration peer_exchange::share_period(std::size_t neighbours) const
 {
-    const duration at_rate = 1s * static_cast<int>(neighbours) / shares_per_second;
+    const duration at_rate = duration(1s) * static_cast<int>(neighbours) / shares_per_second;
     const duration longest = duties_.leads() ? leader_period : duration(1s);
     return std::max(shortest_share_period, std::min(at_rate, longest));
 }
--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -140,6 +140,11 @@
         change.lapsed_ = change.deleted_ && lapses_are_likely();
     }
     const bool waited_in_vain = changes.empty() && result.revision_ <= view_.revision();
+    if (changes.empty() && !waited_in_vain) {
+        // The store has moved on without telling of a change; a watch that hears nothing looks like this.
+        whole_read_due_ = true;
+        return;
+    }
     const auto news = view_.apply(changes, result.revision_);
     verified_at_ = std::max(verified_at_, started + (waited_in_vain ? waited : duration{}));
     if (!changes.empty()) {
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -28,7 +28,7 @@
     socket_address peers_;                ///< For datagrams of other nodes.
     std::vector<exchange_address> seeds_; ///< Nodes to ask for others, by their addresses for datagrams.
     std::uint32_t capacity_ = 1000;       ///< Processor share in thousandths of a core.
-    duration shortest_probe_period_ = std::chrono::milliseconds(40);
+    duration shortest_probe_period_ = std::chrono::milliseconds(60);
     follower_terms follower_;
 };
 
@@ -64,6 +64,9 @@
     registry_node& operator=(const registry_node&) = delete;
     ~registry_node() = default;
 
+    /// Replaces the addresses at which other nodes are sought.
+    void set_seeds(std::vector<exchange_address> seeds) { peers_.set_seeds(std::move(seeds)); }
+
     /// Runs until the node has stopped. Returns the process's exit code.
     int run();
 
--- a/tests/adapters/message_reader_test.cpp
+++ b/tests/adapters/message_reader_test.cpp
@@ -17,7 +17,8 @@
     return text;
 }
 
-/// Feeds the text in pieces of `piece` bytes, each in a buffer chain of its own, and returns how reading ended.
+/// Feeds the text in pieces of `piece` bytes, each in a buffer chain of its own, and returns how reading
+/// ended.
 reading feed_in_pieces(message_reader& reader, evbuffer* input, const std::string& text, std::size_t piece)
 {
     auto outcome = reading::more;
@@ -32,7 +33,8 @@
 
 TEST_CASE("messages are read whole however their bytes are cut")
 {
-    const std::string with_length = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world";
+    const std::string with_length =
+        "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world";
     const std::string chunked = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
                                 "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer: t\r\n\r\n";
     for (const auto& text : {with_length, chunked}) {
@@ -93,7 +95,8 @@
 
 TEST_CASE("ambiguous lengths and heads over the limit are told apart")
 {
-    const std::string both = "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    const std::string both =
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
     const std::string large = "GET / HTTP/1.1\r\nA: " + std::string(2 * head_limit, 'a') + "\r\n\r\n";
     const owned_evbuffer input(evbuffer_new());
     message_reader ambiguous(message_side::request, head_limit);
--- /dev/null
+++ b/tests/core/exchange_network.h
@@ -0,0 +1,113 @@
+// Nodes made of the real exchange, follower and engine, on a network in virtual time.
+#pragma once
+
+#include "core/fakes.h"
+#include "core/fleet/peer_exchange.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvilpost::testing {
+
+/// A store that is never asked here; views are given by the test.
+class silent_store : public registry_store_port {
+public:
+    void read_all(items_callback) override { ++calls_; }
+    void changes_since(std::uint64_t, duration, items_callback) override { ++calls_; }
+    int calls_ = 0;
+};
+
+class network;
+
+/// One node of the exchange.
+struct exchange_node : public datagram_port {
+    exchange_node(network& net, const manual_clock& clock, const std::string& name,
+                  const std::string& data_centre);
+
+    void send(const std::string& ip, std::uint16_t port, const std::string& bytes) override;
+
+    network& network_;
+    split_mix random_;
+    recording_upstreams upstreams_;
+    recording_callers callers_;
+    recording_claims claims_;
+    recording_observer observer_;
+    silent_store store_;
+    call_engine engine_;
+    view_follower follower_;
+    peer_exchange exchange_;
+    std::string ip_;
+    bool cut_off_ = false;
+    int fetches_ = 0;
+};
+
+class network {
+public:
+    exchange_node& add(const std::string& name, const std::string& data_centre)
+    {
+        nodes_.push_back(std::make_unique<exchange_node>(*this, clock_, name, data_centre));
+        auto& added = *nodes_.back();
+        added.exchange_.set_seeds({{nodes_.front()->ip_, 1}});
+        added.exchange_.on_configuration(config_);
+        added.engine_.apply(config_);
+        return added;
+    }
+
+    void run(duration length)
+    {
+        const auto end = clock_.now() + length;
+        while (clock_.now() < end) {
+            for (auto& node : nodes_) {
+                node->exchange_.on_tick();
+            }
+            deliver();
+            clock_.advance(peer_exchange::tick_period);
+        }
+    }
+
+    void deliver()
+    {
+        while (!on_the_way_.empty()) {
+            const auto [ip, bytes] = on_the_way_.front();
+            on_the_way_.pop_front();
+            for (auto& node : nodes_) {
+                if (node->ip_ == ip && !node->cut_off_) {
+                    node->exchange_.on_datagram(bytes);
+                }
+            }
+        }
+    }
+
+    manual_clock clock_;
+    configuration config_ = [] {
+        configuration made;
+        made.revision_ = 1;
+        made.services_["log"].policy_.picker_ = picker_kind::earliest_finish;
+        made.services_["log"].upstreams_["u1"] = {"10.0.0.9", 80, "north", "", upstream_state::active};
+        return made;
+    }();
+    std::vector<std::unique_ptr<exchange_node>> nodes_;
+    std::deque<std::pair<std::string, std::string>> on_the_way_;
+};
+
+inline exchange_node::exchange_node(network& net, const manual_clock& clock, const std::string& name,
+                                    const std::string& data_centre)
+    : network_(net), engine_({clock, random_, upstreams_, callers_, claims_, observer_}),
+      follower_(store_, clock, random_, {}),
+      exchange_({clock, random_, *this, follower_, engine_},
+                {name, 1, data_centre, "10.0.0." + std::to_string(net.nodes_.size() + 1), 1, 2, 200, false}),
+      ip_(exchange_.peers().self().ip_)
+{
+    exchange_.fetch_view_ = [this](const peer&, std::uint64_t) { ++fetches_; };
+}
+
+inline void exchange_node::send(const std::string& ip, std::uint16_t, const std::string& bytes)
+{
+    if (!cut_off_) {
+        network_.on_the_way_.emplace_back(ip, bytes);
+    }
+}
+
+} // namespace anvilpost::testing
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -1,114 +1,13 @@
 // Tests of what nodes tell each other, with nodes made of the real exchange in virtual time.
-#include "core/fakes.h"
-#include "core/fleet/peer_exchange.h"
+#include "core/exchange_network.h"
 
 #include <catch2/catch.hpp>
-#include <deque>
 
 using namespace anvilpost;
 using namespace anvilpost::testing;
 
 namespace {
 
-/// A store that is never asked here; views are given by the test.
-class silent_store : public registry_store_port {
-public:
-    void read_all(items_callback) override { ++calls_; }
-    void changes_since(std::uint64_t, duration, items_callback) override { ++calls_; }
-    int calls_ = 0;
-};
-
-class network;
-
-/// One node of the exchange.
-struct exchange_node : public datagram_port {
-    exchange_node(network& net, const manual_clock& clock, const std::string& name,
-                  const std::string& data_centre);
-
-    void send(const std::string& ip, std::uint16_t port, const std::string& bytes) override;
-
-    network& network_;
-    split_mix random_;
-    recording_upstreams upstreams_;
-    recording_callers callers_;
-    recording_claims claims_;
-    recording_observer observer_;
-    silent_store store_;
-    call_engine engine_;
-    view_follower follower_;
-    peer_exchange exchange_;
-    std::string ip_;
-    bool cut_off_ = false;
-    int fetches_ = 0;
-};
-
-class network {
-public:
-    exchange_node& add(const std::string& name, const std::string& data_centre)
-    {
-        nodes_.push_back(std::make_unique<exchange_node>(*this, clock_, name, data_centre));
-        auto& added = *nodes_.back();
-        added.exchange_.set_seeds({{nodes_.front()->ip_, 1}});
-        added.exchange_.on_configuration(config_);
-        added.engine_.apply(config_);
-        return added;
-    }
-
-    void run(duration length)
-    {
-        const auto end = clock_.now() + length;
-        while (clock_.now() < end) {
-            for (auto& node : nodes_) {
-                node->exchange_.on_tick();
-            }
-            deliver();
-            clock_.advance(peer_exchange::tick_period);
-        }
-    }
-
-    void deliver()
-    {
-        while (!on_the_way_.empty()) {
-            const auto [ip, bytes] = on_the_way_.front();
-            on_the_way_.pop_front();
-            for (auto& node : nodes_) {
-                if (node->ip_ == ip && !node->cut_off_) {
-                    node->exchange_.on_datagram(bytes);
-                }
-            }
-        }
-    }
-
-    manual_clock clock_;
-    configuration config_ = [] {
-        configuration made;
-        made.revision_ = 1;
-        made.services_["log"].policy_.picker_ = picker_kind::earliest_finish;
-        made.services_["log"].upstreams_["u1"] = {"10.0.0.9", 80, "north", "", upstream_state::active};
-        return made;
-    }();
-    std::vector<std::unique_ptr<exchange_node>> nodes_;
-    std::deque<std::pair<std::string, std::string>> on_the_way_;
-};
-
-exchange_node::exchange_node(network& net, const manual_clock& clock, const std::string& name,
-                             const std::string& data_centre)
-    : network_(net), engine_({clock, random_, upstreams_, callers_, claims_, observer_}),
-      follower_(store_, clock, random_, {}),
-      exchange_({clock, random_, *this, follower_, engine_},
-                {name, 1, data_centre, "10.0.0." + std::to_string(net.nodes_.size() + 1), 1, 2, 200, false}),
-      ip_(exchange_.peers().self().ip_)
-{
-    exchange_.fetch_view_ = [this](const peer&, std::uint64_t) { ++fetches_; };
-}
-
-void exchange_node::send(const std::string& ip, std::uint16_t, const std::string& bytes)
-{
-    if (!cut_off_) {
-        network_.on_the_way_.emplace_back(ip, bytes);
-    }
-}
-
 void give_view(exchange_node& node, std::uint64_t revision, time_point verified_at)
 {
     node.follower_.on_peer_changes({{item_kind::upstream, "u1", "x", revision, false, false}}, true, revision,
@@ -312,3 +211,25 @@
         CHECK_FALSE(decode_peer_message(bytes.substr(0, length)).has_value());
     }
 }
+
+TEST_CASE("what a node sends does not grow with the square of the fleet")
+{
+    network net;
+    for (int i = 0; i < 40; ++i) {
+        net.add("n" + std::to_string(i), "north");
+    }
+    net.run(3s);
+    std::vector<std::uint64_t> before;
+    for (const auto& node : net.nodes_) {
+        before.push_back(node->exchange_.counters().messages_sent_);
+    }
+    net.run(2s);
+    for (std::size_t i = 0; i < net.nodes_.size(); ++i) {
+        const auto& node = *net.nodes_[i];
+        if (!node.exchange_.duties().leads()) {
+            const auto per_second = (node.exchange_.counters().messages_sent_ - before[i]) / 2;
+            INFO(node.exchange_.peers().self().name_ << " sends " << per_second << " messages a second");
+            CHECK(per_second <= 80);
+        }
+    }
+}
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -172,3 +172,21 @@
     REQUIRE(calls >= 8);
     REQUIRE(calls <= 25);
 }
+
+TEST_CASE(
+    "an answer without changes but with a later revision proves nothing and is followed by a whole read")
+{
+    follower_bench bench;
+    bench.complete_view();
+    const auto before = bench.follower_.verified_at();
+    {
+        REQUIRE_CALL(bench.store_, changes_since(10U, _, _)).LR_SIDE_EFFECT(bench.answer_ = _3);
+        bench.follower_.on_tick();
+    }
+    bench.clock_.advance(600ms);
+    bench.answer_({store_status::ok, {}, 12, false});
+    REQUIRE(bench.follower_.verified_at() == before);
+    REQUIRE(bench.follower_.view().revision() == 10);
+    REQUIRE_CALL(bench.store_, read_all(_));
+    bench.follower_.on_tick();
+}
