Connections own their streams, so that none is leaked when the loop ends

Cause: work deferred at the end of the loop held connections whose streams nobody freed. Change: a connection's stream is freed with it. Found by reading for the sanitizer build.

--- a/src/adapters/http/message_reader.h
+++ b/src/adapters/http/message_reader.h
@@ -4,6 +4,7 @@
 #include "adapters/http/header_rules.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <memory>
 #include <string>
 
@@ -14,6 +15,10 @@
 };
 using owned_evbuffer = std::unique_ptr<evbuffer, evbuffer_deleter>;
 
+struct bufferevent_deleter {
+    void operator()(bufferevent* stream) const { bufferevent_free(stream); }
+};
+
 /// Start line and headers. A request has a method and a target, an answer a status and a reason.
 struct message_head {
     std::string method_;
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -30,17 +30,7 @@
     sweep_.start(sweep_period);
 }
 
-upstream_pool::~upstream_pool()
-{
-    for (auto& [unused, current] : attempts_) {
-        bufferevent_free(current->connection_->stream_);
-    }
-    for (auto& [unused, connections] : idle_) {
-        for (auto& idle : connections) {
-            bufferevent_free(idle->stream_);
-        }
-    }
-}
+upstream_pool::~upstream_pool() = default;
 
 void upstream_pool::connect(call_engine& engine, answer_sink& sink, request_source& source)
 {
@@ -62,9 +52,9 @@
     ++counters_.connections_opened_;
     counters_.most_open_ = std::max(counters_.most_open_, static_cast<std::uint64_t>(++open_[address]));
     auto opened = std::make_unique<connection>(connection{*this, std::move(address)});
-    opened->stream_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    opened->stream_.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(
-        opened->stream_,
+        opened->stream_.get(),
         [](bufferevent*, void* arg) {
             auto* from = static_cast<connection*>(arg);
             from->pool_.on_input(*from);
@@ -76,22 +66,23 @@
         },
         opened.get());
     evbuffer_add_cb(
-        bufferevent_get_output(opened->stream_),
+        bufferevent_get_output(opened->stream_.get()),
         [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
             static_cast<connection*>(arg)->bytes_written_ += info->n_deleted;
         },
         opened.get());
-    bufferevent_setwatermark(opened->stream_, EV_READ, 0, limits_.answer_high_water_);
+    bufferevent_setwatermark(opened->stream_.get(), EV_READ, 0, limits_.answer_high_water_);
     sockaddr_storage address_bytes{};
     const int length = to_socket_address(order.ip_, order.port_, address_bytes);
     const timeval connect_timeout = to_timeval(limits_.connect_timeout_);
-    bufferevent_set_timeouts(opened->stream_, nullptr, &connect_timeout);
-    if (bufferevent_socket_connect(opened->stream_, reinterpret_cast<sockaddr*>(&address_bytes), length) ==
-        0) {
+    bufferevent_set_timeouts(opened->stream_.get(), nullptr, &connect_timeout);
+    if (bufferevent_socket_connect(opened->stream_.get(), reinterpret_cast<sockaddr*>(&address_bytes),
+                                   length) == 0) {
         const int no_delay = 1;
-        setsockopt(bufferevent_getfd(opened->stream_), IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof no_delay);
+        setsockopt(bufferevent_getfd(opened->stream_.get()), IPPROTO_TCP, TCP_NODELAY, &no_delay,
+                   sizeof no_delay);
     }
-    bufferevent_enable(opened->stream_, EV_READ | EV_WRITE);
+    bufferevent_enable(opened->stream_.get(), EV_READ | EV_WRITE);
     return opened;
 }
 
@@ -108,12 +99,13 @@
 
 bool upstream_pool::reusable(const connection& idle) const
 {
-    if (evbuffer_get_length(bufferevent_get_input(idle.stream_)) > 0 ||
-        evbuffer_get_length(bufferevent_get_output(idle.stream_)) > 0) {
+    if (evbuffer_get_length(bufferevent_get_input(idle.stream_.get())) > 0 ||
+        evbuffer_get_length(bufferevent_get_output(idle.stream_.get())) > 0) {
         return false;
     }
     char byte = 0;
-    const auto peeked = recv(bufferevent_getfd(idle.stream_), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    const auto peeked =
+        recv(bufferevent_getfd(idle.stream_.get()), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -198,7 +190,7 @@
         add("Content-Length", std::to_string(body_bytes));
     }
     head += "\r\n";
-    evbuffer* output = bufferevent_get_output(current.connection_->stream_);
+    evbuffer* output = bufferevent_get_output(current.connection_->stream_.get());
     evbuffer_add(output, head.data(), head.size());
     if (body_bytes > 0) {
         evbuffer_add_buffer_reference(output, request.body_);
@@ -221,7 +213,7 @@
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         from.connected_ = true;
-        bufferevent_set_timeouts(from.stream_, nullptr, nullptr);
+        bufferevent_set_timeouts(from.stream_.get(), nullptr, nullptr);
         return;
     }
     if (from.idle_) {
@@ -245,7 +237,7 @@
 void upstream_pool::read_answer(attempt& current, bool peer_closed)
 {
     const attempt_id id = current.order_.attempt_;
-    evbuffer* input = bufferevent_get_input(current.connection_->stream_);
+    evbuffer* input = bufferevent_get_input(current.connection_->stream_.get());
     while (!current.complete_) {
         auto outcome = current.reader_->feed(input);
         if (outcome == reading::more && peer_closed) {
@@ -402,7 +394,7 @@
         });
         return;
     }
-    bufferevent_disable(cancelled->connection_->stream_, EV_READ | EV_WRITE);
+    bufferevent_disable(cancelled->connection_->stream_.get(), EV_READ | EV_WRITE);
     loop_.defer([this, cancelled] { retire(std::move(cancelled->connection_)); });
 }
 
@@ -410,7 +402,7 @@
 {
     if (auto* current = find(id)) {
         current->paused_ = true;
-        bufferevent_disable(current->connection_->stream_, EV_READ);
+        bufferevent_disable(current->connection_->stream_.get(), EV_READ);
     }
 }
 
@@ -421,7 +413,7 @@
         return;
     }
     current->paused_ = false;
-    bufferevent_enable(current->connection_->stream_, EV_READ);
+    bufferevent_enable(current->connection_->stream_.get(), EV_READ);
 }
 
 const message_head& upstream_pool::answer(attempt_id id) const
@@ -462,10 +454,10 @@
     idle.back()->idle_place_ = std::prev(idle.end());
 }
 
+/// Closes the connection by destroying it.
 void upstream_pool::retire(connection_ptr closing)
 {
     --open_[closing->address_];
-    bufferevent_free(closing->stream_);
 }
 
 /// Takes an idle connection out of use from inside one of its events.
@@ -474,11 +466,8 @@
     std::shared_ptr<connection> owned = std::move(*idle.idle_place_);
     idle_[idle.address_].erase(idle.idle_place_);
     idle.idle_ = false;
-    bufferevent_disable(idle.stream_, EV_READ | EV_WRITE);
-    loop_.defer([this, owned] {
-        --open_[owned->address_];
-        bufferevent_free(owned->stream_);
-    });
+    bufferevent_disable(idle.stream_.get(), EV_READ | EV_WRITE);
+    loop_.defer([this, owned] { --open_[owned->address_]; });
 }
 
 void upstream_pool::close_old_idle_connections()
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -75,7 +75,7 @@
     struct connection {
         upstream_pool& pool_;
         std::string address_;
-        bufferevent* stream_ = nullptr;
+        std::unique_ptr<bufferevent, bufferevent_deleter> stream_{};
         time_point last_used_{};
         time_point expires_{};          ///< The upstream may close it, once idle, from then on.
         std::size_t bytes_written_ = 0; ///< Since the current request started.
--- a/src/core/upstreams/upstream_registry.h
+++ b/src/core/upstreams/upstream_registry.h
@@ -78,7 +78,7 @@
     bool take_configuration(const stored_item& item);
     bool take_upstream(const stored_item& item);
     bool remove(const std::string& name, std::uint64_t revision);
-    void tell(registry_event::kind kind, const std::string& name, std::uint64_t revision,
+    void tell(registry_event::kind what, const std::string& name, std::uint64_t revision,
               const std::string& detail = "") const;
 
     const document_codec& codec_;
