A waiting call's old hedge no longer keeps the loop busy; 503 only where nothing ran

Cause 1: a repeatable call whose first attempt failed and that then waited kept the time of its hedge. Once that had passed, each wake-up was due at once: the loop never came back. Found by the test of the second cause, which hung for ten minutes. Cause 2: a call that may have run and then found no room was answered 503, which callers may take for a promise that it has not run. It is answered 502 now. Cause 3: the longest time left per route was forgotten with each change of the registry. Change: hedges count only while an attempt runs; `reject` answers 503 only for calls that were not run; the learnt times stay as long as their route. Figures: the new test hangs without the first change and fails without the second.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -92,7 +92,7 @@
 void caller_server::apply(const configuration& config)
 {
     routes_.apply(config, random_);
-    longest_time_left_.clear();
+    std::erase_if(longest_time_left_, [&](const auto& entry) { return !routes_.has(entry.first); });
     services_.clear();
     for (const auto& [name, service] : config.services_) {
         services_[name] = service;
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -438,6 +438,11 @@
 {
     const call_id call = state.call_.id_;
     auto* service = find_service(state.call_.service_);
+    constexpr int service_unavailable = 503;
+    if (state.verdict_ != verdict::not_run && status_of(kind) == service_unavailable) {
+        // Callers may take this status for a promise that the request was not run.
+        kind = problem_kind::upstream_broken;
+    }
     problem why{kind, state.verdict_, std::move(detail), std::nullopt};
     const int status = status_of(kind);
     if (status == 503 || status == 504) {
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -224,7 +224,7 @@
             state.wake_at_ = std::min(state.wake_at_, now() + service->config().policy_.queue_wait_);
         }
     }
-    if (state.hedge_at_) {
+    if (state.hedge_at_ && state.phase_ == phase::running) {
         state.wake_at_ = std::min(state.wake_at_, *state.hedge_at_);
     }
     const auto added = wakeups_.insert({state.wake_at_, state.call_.id_}).first;
--- a/src/core/configuration/route_table.h
+++ b/src/core/configuration/route_table.h
@@ -40,7 +40,8 @@
     /// Returns the service for the route's next call.
     [[nodiscard]] const std::string& next_service(const route_config& route);
 
-    [[nodiscard]] bool empty() const { return by_host_.empty(); }
+    /// True when a route of that name is in force.
+    [[nodiscard]] bool has(const std::string& name) const { return turns_.contains(name); }
 
 private:
     void add(route_config route);
--- a/tests/core/present_speed_test.cpp
+++ b/tests/core/present_speed_test.cpp
@@ -108,6 +108,25 @@
     REQUIRE(status_of(bench.callers_.rejected_.at(call).kind_) == 502);
 }
 
+TEST_CASE("a call that may have run and then finds no room in time is not told that it was not run")
+{
+    speed_bench bench(2);
+    const auto call = bench.send_call(true, 300ms, 500ms);
+    const auto first = bench.last();
+    const std::string other = first.upstream_ == "u1" ? "u2" : "u1";
+    bench.tell(other, 1.0, 6);
+    bench.engine_.on_attempt_ended(first.attempt_, attempt_outcome::broken);
+    REQUIRE(bench.upstreams_.started_.size() == 1);
+    for (int i = 0; i < 100 && !bench.callers_.rejected_.contains(call); ++i) {
+        bench.tell(other, 1.0, 6);
+        bench.advance(10ms);
+    }
+    const auto& why = bench.callers_.rejected_.at(call);
+    INFO(name_of(why.kind_));
+    REQUIRE(why.verdict_ == verdict::may_have_run);
+    REQUIRE(status_of(why.kind_) != 503);
+}
+
 TEST_CASE("an upstream at whose address another one answers gets no more calls")
 {
     speed_bench bench(2);
