Every slot is used near capacity; what nearly full upstreams make of a call stays an estimate

Change: slots are no longer left free where full upstreams finish fewer calls; the learnt factor still weighs in the choice.

--- a/src/core/calls/crowding.h
+++ b/src/core/calls/crowding.h
@@ -1,6 +1,5 @@
-// Learns whether the upstreams of a service slow down when nearly full, and how many calls are best run
-// there at the same time. It answers loads near capacity: where a full upstream takes so much longer that
-// it finishes fewer calls than a less full one, filling it costs every caller.
+// Learns whether the upstreams of a service slow down when nearly full, so that calls prefer less full ones.
+// It answers loads below capacity; near capacity every slot is used (docs/design/placing.md).
 #pragma once
 
 #include <algorithm>
@@ -45,13 +44,6 @@
         return slots <= few_slots ? assumed_with_few_slots : 1.0;
     }
 
-    /// Calls to run at an upstream at most: all slots, or fewer where these finish more calls.
-    [[nodiscard]] int best(int slots) const
-    {
-        const int fewer = comfortable(slots);
-        return factor(slots) * fewer > slots ? fewer : slots;
-    }
-
 private:
     double factor_ = 0; ///< 0 until learnt.
 };
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -108,7 +108,7 @@
     }
     if (uses_present_speed()) {
         // Part of a call is what a decaying report leaves behind; it takes no slot.
-        return upstream.occupancy(now) <= best_running(upstream) - half_a_call;
+        return upstream.occupancy(now) <= upstream.slots(config_.policy_.slots_) - half_a_call;
     }
     return upstream.in_flight() < config_.policy_.slots_;
 }
@@ -260,9 +260,7 @@
 {
     double slots = 0;
     for (const auto& [unused, tracker] : upstreams_) {
-        const int usable =
-            uses_present_speed() ? best_running(*tracker) : tracker->slots(config_.policy_.slots_);
-        slots += tracker->receives_calls() ? usable : 0;
+        slots += tracker->receives_calls() ? tracker->slots(config_.policy_.slots_) : 0;
     }
     return uses_present_speed() ? slots / static_cast<double>(position_.nodes_) : slots;
 }
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -117,10 +117,6 @@
     latency_window latencies_;
 
 private:
-    [[nodiscard]] int best_running(const upstream_tracker& upstream) const
-    {
-        return crowding_.best(upstream.slots(config_.policy_.slots_));
-    }
     [[nodiscard]] int usual_slots() const;
     [[nodiscard]] bool has_room(const upstream_tracker& upstream, time_point now) const;
 
