The engine's reports have a file of their own

Ruled out: a class of its own; the functions share the engine's state. Measured: 138 core tests pass, 771 assertions as before; format clean.

--- /dev/null
+++ b/src/core/calls/call_engine_reports.cpp
@@ -0,0 +1,136 @@
+// The engine's reports: what it tells observers of its decisions, and what it hears of upstreams and requests
+// from the rest of the node and from other nodes.
+#include "core/calls/call_engine.h"
+
+namespace anvilpost {
+
+void call_engine::tell(decision_kind kind, const call_state& state, const upstream_tracker* upstream,
+                       std::string reason)
+{
+    call_decision decision;
+    decision.kind_ = kind;
+    decision.call_ = &state.call_;
+    decision.reason_ = std::move(reason);
+    decision.attempts_ = state.attempts_made_;
+    if (const auto* service = find_service(state.call_.service_)) {
+        decision.waiting_ = service->line_.size();
+        if (upstream != nullptr) {
+            decision.expected_finish_ = expected_finish(*upstream, service->context_for(state.call_, now()));
+            decision.slowdown_ = upstream->slowdown(now(), service->typical_slowdown());
+        }
+    }
+    if (upstream != nullptr) {
+        decision.upstream_ = upstream->name();
+        decision.occupancy_ = upstream->occupancy(now());
+        if (const auto taken = upstream->report_taken()) {
+            decision.report_age_ = now() - *taken;
+        }
+    }
+    ports_.observer_.on_decision(decision);
+}
+
+call_record call_engine::record_of(const call_state& state) const
+{
+    call_record record;
+    record.request_id_ = state.call_.request_id_;
+    record.route_ = state.call_.route_;
+    record.service_ = state.call_.service_;
+    record.verdict_ = state.verdict_;
+    record.latency_ = now() - state.call_.arrival_;
+    record.attempts_ = state.attempts_made_;
+    return record;
+}
+
+void call_engine::on_upstream_leaving(const std::string& service, const std::string& upstream,
+                                      leaving_source source)
+{
+    auto* state = find_service(service);
+    if (state == nullptr) {
+        return;
+    }
+    if (auto* tracker = state->find(upstream)) {
+        tracker->mark_leaving(source);
+    }
+    serve_waiting(*state);
+}
+
+void call_engine::on_probe_finding(const std::string& service, const std::string& upstream, bool healthy)
+{
+    auto* state = find_service(service);
+    auto* tracker = state == nullptr ? nullptr : state->find(upstream);
+    if (tracker == nullptr) {
+        return;
+    }
+    if (healthy) {
+        tracker->on_success(now());
+    }
+    else {
+        tracker->on_failure(state->failure_penalty(), now());
+    }
+    serve_waiting(*state);
+}
+
+void call_engine::set_position(const fleet_position& position)
+{
+    position_ = position;
+    for (auto& [unused, service] : services_) {
+        service.set_position(position);
+    }
+}
+
+upstream_tracker* call_engine::find_upstream(const std::string& service, const std::string& upstream)
+{
+    auto* state = find_service(service);
+    return state == nullptr ? nullptr : state->find(upstream);
+}
+
+void call_engine::on_load(const std::string& service, const std::string& upstream, const load_report& report,
+                          time_point taken)
+{
+    if (auto* tracker = find_upstream(service, upstream)) {
+        find_service(service)->on_load(*tracker, report, taken);
+    }
+}
+
+void call_engine::on_probe(const std::string& service, const std::string& upstream, bool answered,
+                           bool healthy, time_point taken)
+{
+    if (auto* tracker = find_upstream(service, upstream)) {
+        tracker->on_probe(answered, healthy, taken);
+    }
+}
+
+void call_engine::on_peer_load(const std::string& service, const std::string& upstream, std::uint64_t peer,
+                               int in_flight)
+{
+    if (auto* tracker = find_upstream(service, upstream)) {
+        tracker->set_peer_in_flight(peer, in_flight, now());
+    }
+}
+
+void call_engine::on_peer_outcomes(const std::string& service, const std::string& upstream, int served,
+                                   int failed)
+{
+    if (auto* tracker = find_upstream(service, upstream)) {
+        tracker->on_peer_outcomes(served, failed, now());
+    }
+}
+
+void call_engine::set_owned_slots(const std::string& service, const std::map<std::string, int>& owned)
+{
+    auto* state = find_service(service);
+    if (state == nullptr) {
+        return;
+    }
+    for (const auto& [name, upstream] : state->upstreams()) {
+        const auto found = owned.find(name);
+        upstream->set_owned_slots(found == owned.end() ? 0 : found->second);
+    }
+}
+
+void call_engine::on_peer_strike(std::uint64_t fingerprint, const std::string& upstream)
+{
+    suspects_.add_strike(fingerprint, upstream, now());
+}
+
+} // namespace anvilpost
