A deployment of the users' platform on loopback, and a soak on it

Ruled out: extending the Consul stand-in (another protocol; it serves anvilpostd's own interface). Change: testing/platform_world (store with revisions, pages, watches, transactions, leases and faults per node; workers; proxies; callers; a book that checks promises from both ends), testing/soak with 25 kinds of trouble drawn by seed, eight end-to-end tests, six tests of the book. child_process moved to testing/support; children end with their parent. Found: the soak's first runs crashed in its own worker (a timer outlived it) and blamed deadlines for bytes that a link or the soak itself had held up; both mended, the second by the pages' own exemption for held-up links and a measured stall of the soak.

--- /dev/null
+++ b/testing/platform_world/caller.h
@@ -0,0 +1,73 @@
+// A caller of the users' platform: one request after another on a connection that it keeps as long as the
+// node lets it, as browsers do.
+#pragma once
+
+#include "adapters/event/event_loop.h"
+#include "adapters/http/message_reader.h"
+#include "platform_world/loopback_proxy.h"
+#include "platform_world/promise_book.h"
+
+#include <memory>
+#include <string>
+
+namespace anvilpost::testing {
+
+/// What a caller asks for, drawn anew for each request.
+struct request_kind {
+    std::string host_;
+    std::string path_prefix_;
+    bool repeatable_ = true;
+    int max_attempts_ = 2;
+    duration time_left_ = std::chrono::milliseconds(1500);
+};
+
+struct node_choice {
+    int number_ = 0;
+    loopback_address address_;
+};
+
+class caller {
+public:
+    struct sources {
+        std::function<node_choice()> node_;
+        std::function<request_kind()> kind_;
+    };
+
+    caller(event_loop& loop, promise_book& book, random_port& random, std::string name, sources from);
+    caller(const caller&) = delete;
+    caller& operator=(const caller&) = delete;
+    ~caller() = default;
+
+    /// Sends requests with pauses around `pause` until `stop`.
+    void start(duration pause);
+    void stop() { stopped_ = true; }
+    [[nodiscard]] bool idle() const { return current_ == nullptr; }
+
+private:
+    void send_next();
+    void connect();
+    void write_request();
+    void on_input();
+    void on_closed();
+    void give_up();
+    void end_connection();
+    void rest();
+
+    event_loop& loop_;
+    promise_book& book_;
+    random_port& random_;
+    std::string name_;
+    sources from_;
+    duration pause_{};
+    bool stopped_ = false;
+    int sent_ = 0;
+    int node_ = 0;
+    std::unique_ptr<bufferevent, bufferevent_deleter> stream_;
+    std::unique_ptr<message_reader> reader_;
+    sent_request* current_ = nullptr;
+    std::string host_;
+    timer next_;
+    timer deadline_;
+};
+
+} // namespace anvilpost::testing
--- /dev/null
+++ b/testing/platform_world/loopback_proxy.h
@@ -0,0 +1,97 @@
+// A TCP proxy on loopback that misbehaves on command: it delays, holds back or resets what it carries.
+#pragma once
+
+#include "adapters/event/event_loop.h"
+
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace anvilpost::testing {
+
+/// Fault of a link between two programs.
+enum class link_fault {
+    none,
+    delayed, ///< Each byte arrives later.
+    silent,  ///< Nothing gets through, either way; connections stay open.
+    one_way, ///< What the client sends gets through, answers don't.
+    refused, ///< New connections are reset.
+};
+
+struct loopback_address {
+    std::string ip_;
+    std::uint16_t port_ = 0;
+};
+
+/// Invariant: bytes that are held back arrive in order once the fault is over, unless their connection was
+/// reset or forgotten.
+class loopback_proxy {
+public:
+    loopback_proxy(event_loop& loop, const loopback_address& listen, const loopback_address& target);
+    loopback_proxy(const loopback_proxy&) = delete;
+    loopback_proxy& operator=(const loopback_proxy&) = delete;
+    ~loopback_proxy();
+
+    void set_fault(link_fault fault, duration delay = {});
+
+    /// Resets the connections that are open now.
+    void reset_open();
+
+    /// The connections that are open now carry nothing any more; neither end hears of it.
+    void forget_open();
+
+    /// True when a fault delayed or held back bytes within the last `span`.
+    [[nodiscard]] bool harmed_within(duration span) const
+    {
+        return fault_ != link_fault::none || (harmed_ && clock_.now() - harmed_until_ < span);
+    }
+
+private:
+    struct connection;
+
+    struct direction {
+        connection* owner_ = nullptr;
+        bufferevent* from_ = nullptr;
+        bufferevent* to_ = nullptr;
+        bool ended_ = false;
+        struct chunk {
+            time_point due_{};
+            std::string bytes_; ///< Empty for the end of the stream.
+        };
+        std::deque<chunk> held_;
+    };
+
+    struct connection {
+        loopback_proxy* proxy_ = nullptr;
+        bufferevent* client_ = nullptr;
+        bufferevent* server_ = nullptr;
+        direction up_;
+        direction down_;
+        bool forgotten_ = false;
+        std::unique_ptr<timer> pump_;
+    };
+
+    void accept(evutil_socket_t fd);
+    void on_input(direction& way);
+    void on_end(direction& way, bool broken);
+    void pump(connection& carried);
+    void pump(direction& way, bool open);
+    void close(connection& carried, bool reset);
+    [[nodiscard]] bool passes(const connection& carried, bool downwards) const;
+
+    event_loop& loop_;
+    loopback_address target_;
+    evconnlistener* listener_ = nullptr;
+    steady_clock clock_;
+    link_fault fault_ = link_fault::none;
+    duration delay_{};
+    bool harmed_ = false;
+    time_point harmed_until_{}; ///< End of the last fault.
+    std::list<std::unique_ptr<connection>> connections_;
+};
+
+} // namespace anvilpost::testing
--- /dev/null
+++ b/testing/platform_world/registry_store.cpp
@@ -0,0 +1,399 @@
+// The store's calls, one function each.
+#include "platform_world/registry_store.h"
+
+#include "adapters/store/base64.h"
+#include "stand_in_server.h"
+
+#include <algorithm>
+
+namespace anvilpost::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int http_ok = 200;
+constexpr int http_forbidden = 403;
+constexpr int http_not_found = 404;
+constexpr int http_gone = 410;
+constexpr int http_condition_failed = 412;
+
+/// Small, so that reads in pages are the rule.
+constexpr std::size_t items_per_page = 5;
+
+constexpr std::chrono::milliseconds shortest_lease{1000};
+
+std::uint64_t number_of(const std::string& text)
+{
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+bool reserved(const std::string& key)
+{
+    return key.starts_with("op/") || key.starts_with("servers/");
+}
+
+} // namespace
+
+registry_store::registry_store(event_loop& loop) : loop_(loop) {}
+
+std::size_t registry_store::listen(const loopback_address& address)
+{
+    const std::size_t number = fronts_.size();
+    fronts_.push_back(std::make_unique<front>());
+    fronts_.back()->listener_ =
+        std::make_unique<listener>(loop_, address.ip_, address.port_, generous_limits(),
+                                   [this, number](evhttp_request* request) { on_request(number, request); });
+    return number;
+}
+
+void registry_store::set_faults(std::size_t number, const store_front_faults& faults)
+{
+    fronts_.at(number)->faults_ = faults;
+}
+
+void registry_store::set_faults(const store_front_faults& faults)
+{
+    for (auto& each : fronts_) {
+        each->faults_ = faults;
+    }
+}
+
+std::vector<std::string> registry_store::keys(const std::string& prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto& [key, unused] : items_) {
+        if (key.starts_with(prefix)) {
+            found.push_back(key);
+        }
+    }
+    return found;
+}
+
+void registry_store::record(const std::string& key, const item& now, bool deleted)
+{
+    history_.push_back({key, now.revision_, deleted, now});
+}
+
+std::uint64_t registry_store::put(const std::string& key, const std::string& value)
+{
+    auto& stored = items_[key];
+    stored.value_ = value;
+    stored.revision_ = ++revision_;
+    stored.created_ = stored.created_ == 0 ? revision_ : stored.created_;
+    record(key, stored, false);
+    wake_watches();
+    return revision_;
+}
+
+void registry_store::erase(const std::string& key)
+{
+    if (items_.erase(key) > 0) {
+        ++revision_;
+        record(key, {"", revision_, 0, 0}, true);
+        wake_watches();
+    }
+}
+
+void registry_store::compact()
+{
+    history_.clear();
+    compacted_to_ = revision_;
+    for (const auto& call : std::vector(watches_)) {
+        if (call->request_ != nullptr) {
+            drop(loop_, call->request_);
+        }
+        release(call);
+    }
+}
+
+json registry_store::describe(const std::string& key, const item& stored)
+{
+    return {{"key", key},
+            {"value", encode_base64(stored.value_)},
+            {"revision", stored.revision_},
+            {"create_revision", stored.created_},
+            {"lease", stored.lease_}};
+}
+
+std::shared_ptr<registry_store::open_call> registry_store::hold(evhttp_request* request)
+{
+    auto call = std::make_shared<open_call>();
+    call->request_ = request;
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(request),
+        [](evhttp_connection*, void* arg) { static_cast<open_call*>(arg)->request_ = nullptr; }, call.get());
+    return call;
+}
+
+void registry_store::release(const std::shared_ptr<open_call>& call)
+{
+    if (call->request_ != nullptr) {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(call->request_), nullptr, nullptr);
+    }
+    call->request_ = nullptr;
+    std::erase(watches_, call);
+    std::erase(delayed_, call);
+    // Its own timer may be running this.
+    loop_.defer([call] {});
+}
+
+void registry_store::on_request(std::size_t number, evhttp_request* request)
+{
+    auto& at = *fronts_[number];
+    at.listener_->on_request_whole(request);
+    if (at.faults_.hang_) {
+        return;
+    }
+    if (at.faults_.reset_) {
+        drop(loop_, request);
+        return;
+    }
+    if (at.faults_.refuse_with_ != 0) {
+        reply(request, at.faults_.refuse_with_, "{}");
+        return;
+    }
+    if (at.faults_.delay_ == duration{}) {
+        serve(number, request);
+        return;
+    }
+    auto call = hold(request);
+    call->due_ = std::make_unique<timer>(loop_, [this, held = std::weak_ptr(call), number] {
+        const auto due = held.lock();
+        auto* open = due->request_;
+        release(due);
+        if (open != nullptr) {
+            serve(number, open);
+        }
+    });
+    call->due_->start(at.faults_.delay_);
+    delayed_.push_back(call);
+}
+
+void registry_store::serve(std::size_t number, evhttp_request* request)
+{
+    const std::string path = path_of(request);
+    if (path == "/v1/kv-key") {
+        read_key(request);
+    }
+    else if (path == "/v1/kv-range") {
+        ++counters_.reads_;
+        read_range(request);
+    }
+    else if (path == "/v1/kv-watch") {
+        ++counters_.reads_;
+        watch(number, request);
+    }
+    else if (path == "/v1/kv-txn") {
+        ++counters_.writes_;
+        transact(number, request);
+    }
+    else {
+        serve_lease(request, path);
+    }
+}
+
+void registry_store::read_key(evhttp_request* request) const
+{
+    const auto found = items_.find(query_of(request, "key"));
+    if (found == items_.end()) {
+        reply(request, http_not_found, json{{"store_revision", revision_}}.dump());
+        return;
+    }
+    auto body = describe(found->first, found->second);
+    body["store_revision"] = revision_;
+    reply(request, http_ok, body.dump());
+}
+
+void registry_store::read_range(evhttp_request* request) const
+{
+    const std::string prefix = query_of(request, "path_prefix");
+    const std::string after = query_of(request, "after");
+    json page{{"items", json::array()}, {"has_more", false}, {"store_revision", revision_}};
+    for (const auto& [key, stored] : items_) {
+        if (!key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        if (page["items"].size() == items_per_page) {
+            page["has_more"] = true;
+            break;
+        }
+        page["items"].push_back(describe(key, stored));
+    }
+    reply(request, http_ok, page.dump());
+}
+
+void registry_store::watch(std::size_t number, evhttp_request* request)
+{
+    auto call = hold(request);
+    call->prefix_ = query_of(request, "path_prefix");
+    call->after_ = number_of(query_of(request, "after"));
+    call->front_ = number;
+    if (answer_watch(*call, false)) {
+        release(call);
+        return;
+    }
+    watches_.push_back(call);
+    call->due_ = std::make_unique<timer>(loop_, [this, held = std::weak_ptr(call)] {
+        const auto due = held.lock();
+        answer_watch(*due, true);
+        release(due);
+    });
+    call->due_->start(std::chrono::milliseconds(number_of(query_of(request, "wait_ms"))));
+}
+
+/// Answers if there is a change to tell, or at the end of the wait. Returns whether it did.
+bool registry_store::answer_watch(open_call& call, bool at_the_end)
+{
+    if (call.request_ == nullptr) {
+        return true;
+    }
+    json events = json::array();
+    if (call.after_ < compacted_to_) {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(call.request_), nullptr, nullptr);
+        reply(std::exchange(call.request_, nullptr), http_gone, "{}");
+        return true;
+    }
+    for (const auto& each : history_) {
+        const bool wanted = each.revision_ > call.after_ && each.key_.starts_with(call.prefix_);
+        if (wanted && each.deleted_) {
+            events.push_back({{"key", each.key_}, {"revision", each.revision_}, {"deleted", true}});
+        }
+        else if (wanted) {
+            events.push_back(describe(each.key_, each.item_));
+        }
+    }
+    const bool deaf = fronts_[call.front_]->faults_.deaf_watches_;
+    if ((events.empty() || deaf) && !at_the_end) {
+        return false;
+    }
+    const auto told = deaf ? call.after_ : revision_;
+    const json body{{"events", deaf ? json::array() : events}, {"store_revision", told}};
+    evhttp_connection_set_closecb(evhttp_request_get_connection(call.request_), nullptr, nullptr);
+    reply(std::exchange(call.request_, nullptr), http_ok, body.dump());
+    return true;
+}
+
+void registry_store::wake_watches()
+{
+    for (const auto& call : std::vector(watches_)) {
+        if (answer_watch(*call, false)) {
+            release(call);
+        }
+    }
+}
+
+void registry_store::transact(std::size_t number, evhttp_request* request)
+{
+    const auto wanted = json::parse(body_of(request), nullptr, false);
+    json failed = json::array();
+    for (const auto& row : wanted.value("expect", json::array())) {
+        const auto found = items_.find(row["key"].get<std::string>());
+        const auto present = found == items_.end() ? 0 : found->second.revision_;
+        if (present != row["revision"].get<std::uint64_t>() && present != 0) {
+            failed.push_back(describe(found->first, found->second));
+        }
+        else if (present != row["revision"].get<std::uint64_t>()) {
+            failed.push_back({{"key", row["key"]}, {"revision", 0}});
+        }
+    }
+    if (!failed.empty()) {
+        finish_write(number, request, http_condition_failed, {{"items", failed}});
+        return;
+    }
+    for (const auto& row : wanted.value("put_items", json::array())) {
+        const auto of_lease = row.value("lease", std::uint64_t{0});
+        if (reserved(row["key"].get<std::string>())) {
+            finish_write(number, request, http_forbidden, json::object());
+            return;
+        }
+        if (of_lease != 0 && !leases_.contains(of_lease)) {
+            finish_write(number, request, http_not_found, json::object());
+            return;
+        }
+    }
+    for (const auto& row : wanted.value("put_items", json::array())) {
+        const auto key = row["key"].get<std::string>();
+        put(key, decode_base64(row["value"].get<std::string>()));
+        items_[key].lease_ = row.value("lease", std::uint64_t{0});
+    }
+    for (const auto& key : wanted.value("delete_keys", json::array())) {
+        erase(key.get<std::string>());
+    }
+    finish_write(number, request, http_ok, {{"revision", revision_}});
+}
+
+void registry_store::finish_write(std::size_t number, evhttp_request* request, int status, const json& body)
+{
+    constexpr int thousand = 1000;
+    const double part = fronts_[number]->faults_.lose_answers_;
+    // Spread evenly over the writes; the store has no randomness of its own.
+    if (static_cast<double>(counters_.writes_ * 7919 % thousand) < part * thousand) {
+        drop(loop_, request);
+        return;
+    }
+    reply(request, status, body.dump());
+}
+
+void registry_store::serve_lease(evhttp_request* request, const std::string& path)
+{
+    const std::string keep = "/v1/kv-keep/";
+    const std::string end = "/v1/kv-lease-end/";
+    if (path == "/v1/kv-lease") {
+        ++counters_.writes_;
+        grant(request);
+        return;
+    }
+    if (path.starts_with(keep)) {
+        ++counters_.renewals_;
+        const auto found = leases_.find(number_of(path.substr(keep.size())));
+        if (found == leases_.end()) {
+            reply(request, http_not_found, "{}");
+            return;
+        }
+        found->second.end_->start(found->second.life_);
+        const auto life = std::chrono::duration_cast<std::chrono::milliseconds>(found->second.life_);
+        reply(request, http_ok, json{{"ttl_ms", life.count()}}.dump());
+        return;
+    }
+    if (path.starts_with(end)) {
+        end_lease(number_of(path.substr(end.size())));
+        reply(request, http_ok, "{}");
+        return;
+    }
+    reply(request, http_not_found, "{}");
+}
+
+void registry_store::grant(evhttp_request* request)
+{
+    const auto asked = json::parse(body_of(request), nullptr, false).value("ttl_ms", 0);
+    const auto life = std::max(shortest_lease, std::chrono::milliseconds(asked));
+    const auto number = next_lease_++;
+    auto& added = leases_[number];
+    added.life_ = life;
+    added.end_ = std::make_unique<timer>(loop_, [this, number] { end_lease(number); });
+    added.end_->start(life);
+    reply(request, http_ok, json{{"lease", number}, {"ttl_ms", life.count()}}.dump());
+}
+
+void registry_store::end_lease(std::uint64_t number)
+{
+    const auto found = leases_.find(number);
+    if (found == leases_.end()) {
+        return;
+    }
+    // Its own timer may be running this.
+    std::shared_ptr<timer> ended = std::move(found->second.end_);
+    leases_.erase(found);
+    loop_.defer([ended] {});
+    std::vector<std::string> keys;
+    for (const auto& [key, stored] : items_) {
+        if (stored.lease_ == number) {
+            keys.push_back(key);
+        }
+    }
+    for (const auto& key : keys) {
+        erase(key);
+    }
+}
+
+} // namespace anvilpost::testing
--- /dev/null
+++ b/testing/platform_world/worker.cpp
@@ -0,0 +1,217 @@
+// What a worker does with a request, in the words of the platform's pages.
+#include "platform_world/worker.h"
+
+#include "stand_in_server.h"
+
+#include <algorithm>
+
+namespace anvilpost::testing {
+namespace {
+
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_misdirected = 421;
+constexpr int http_unavailable = 503;
+constexpr int usual_speed_percent = 100;
+constexpr const char* request_id_name = "Anvilpost-Request-Id";
+constexpr const char* instance_name = "Anvilpost-Instance-Id";
+
+std::string method_of(evhttp_request* request)
+{
+    return evhttp_request_get_command(request) == EVHTTP_REQ_POST ? "POST" : "GET";
+}
+
+} // namespace
+
+worker::worker(event_loop& loop, promise_book& book, random_port& random, const worker_settings& settings)
+    : loop_(loop), book_(book), random_(random), settings_(settings),
+      listener_(loop, settings.address_.ip_, settings.address_.port_, generous_limits(),
+                [this](evhttp_request* request) { on_request(request); })
+{
+}
+
+bool worker::happens(double part)
+{
+    return part > 0 && random_unit(random_) < part;
+}
+
+int worker::running() const
+{
+    return static_cast<int>(
+        std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) { return entry->running_; }));
+}
+
+std::string worker::load() const
+{
+    const auto in_slots = running();
+    return std::to_string(in_slots) + "," + std::to_string(static_cast<int>(jobs_.size()) - in_slots) + "," +
+           std::to_string(settings_.slots_) + "," +
+           std::to_string(static_cast<int>(faults_.slowdown_ * usual_speed_percent));
+}
+
+void worker::add_common_headers(evhttp_request* request, const std::string& request_id) const
+{
+    auto* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Anvilpost-Server-Load", load().c_str());
+    if (!request_id.empty()) {
+        evhttp_add_header(headers, request_id_name, request_id.c_str());
+    }
+}
+
+void worker::answer_health(evhttp_request* request)
+{
+    add_common_headers(request, "");
+    evhttp_add_header(evhttp_request_get_output_headers(request), instance_name, settings_.id_.c_str());
+    reply(request, draining_ && !faults_.lie_healthy_ ? http_unavailable : http_ok, "");
+}
+
+void worker::refuse(evhttp_request* request, int status)
+{
+    add_common_headers(request, header_of(request, request_id_name));
+    auto* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Anvilpost-Not-Executed", "1");
+    evhttp_add_header(headers, instance_name, settings_.id_.c_str());
+    reply(request, status, "");
+}
+
+void worker::on_request(evhttp_request* request)
+{
+    listener_.on_request_whole(request);
+    const std::string path = path_of(request);
+    if (path == "/health") {
+        answer_health(request);
+        return;
+    }
+    const std::string id = header_of(request, request_id_name);
+    if (id.empty()) {
+        refuse(request, http_bad_request);
+        return;
+    }
+    const std::string expected = header_of(request, "Anvilpost-Expect-Instance");
+    if (!expected.empty() && expected != settings_.id_) {
+        refuse(request, http_misdirected);
+        return;
+    }
+    const auto left = std::atoll(header_of(request, "Anvilpost-Deadline-Ms").c_str());
+    on_arrival_({settings_.id_, settings_.service_, id, method_of(request), path, body_of(request),
+                 std::chrono::milliseconds(left), false});
+    const bool full = jobs_.size() >= static_cast<std::size_t>(settings_.slots_) + settings_.queue_;
+    if (full || happens(faults_.refuse_)) {
+        refuse(request, http_unavailable);
+        return;
+    }
+    auto added = std::make_shared<job>();
+    added->request_ = request;
+    added->id_ = id;
+    added->path_ = path;
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(request),
+        [](evhttp_connection*, void* arg) { static_cast<job*>(arg)->request_ = nullptr; }, added.get());
+    jobs_.push_back(added);
+    start_next();
+}
+
+void worker::start_next()
+{
+    for (const auto& waiting : std::deque<std::shared_ptr<job>>(jobs_)) {
+        if (running() >= settings_.slots_) {
+            return;
+        }
+        if (waiting->running_) {
+            continue;
+        }
+        if (waiting->request_ == nullptr) {
+            // Its caller went away before it ran.
+            remove(waiting);
+            continue;
+        }
+        waiting->running_ = true;
+        book_.on_run(settings_.id_, waiting->id_);
+        waiting->end_ = std::make_unique<timer>(loop_, [this, held = std::weak_ptr(waiting)] {
+            if (const auto running_job = held.lock()) {
+                finish(running_job);
+            }
+        });
+        waiting->end_->start(
+            duration(static_cast<duration::rep>(static_cast<double>(settings_.work_.count()) *
+                                                faults_.slowdown_ * (0.5 + random_unit(random_)))));
+    }
+}
+
+void worker::remove(const std::shared_ptr<job>& ended)
+{
+    std::erase(jobs_, ended);
+    if (ended->request_ != nullptr) {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(ended->request_), nullptr, nullptr);
+    }
+    // Its own timer may be running this.
+    loop_.defer([ended] {});
+}
+
+void worker::abandon()
+{
+    for (const auto& open : std::deque<std::shared_ptr<job>>(jobs_)) {
+        remove(open);
+    }
+}
+
+void worker::finish(const std::shared_ptr<job>& done)
+{
+    if (happens(faults_.never_answer_)) {
+        // Keeps its slot for good, as a worker that hangs does; its caller's close is not noticed.
+        book_.on_worker_broke_off(done->id_);
+        return;
+    }
+    if (done->request_ != nullptr && happens(faults_.lose_answers_)) {
+        book_.on_worker_broke_off(done->id_);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(done->request_), nullptr, nullptr);
+        drop(loop_, done->request_);
+        done->request_ = nullptr;
+    }
+    else if (done->request_ != nullptr && happens(faults_.cut_answers_)) {
+        cut(*done);
+    }
+    else if (done->request_ != nullptr) {
+        answer(*done);
+    }
+    remove(done);
+    start_next();
+}
+
+void worker::answer(job& done)
+{
+    add_common_headers(done.request_, done.id_);
+    evhttp_add_header(evhttp_request_get_output_headers(done.request_), "Anvilpost-Server-Stamp",
+                      settings_.id_.c_str());
+    auto* request = done.request_;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+    done.request_ = nullptr;
+    reply(request, http_ok, promise_book::answer_body(done.id_, done.path_), "text/plain");
+}
+
+/// Sends half of an answer, then ends the connection.
+void worker::cut(job& done)
+{
+    book_.on_worker_broke_off(done.id_);
+    const std::string body = promise_book::answer_body(done.id_, done.path_);
+    auto* request = done.request_;
+    auto* connection = evhttp_request_get_connection(request);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    done.request_ = nullptr;
+    add_common_headers(request, done.id_);
+    auto* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Anvilpost-Server-Stamp", settings_.id_.c_str());
+    evhttp_add_header(headers, "Content-Length", std::to_string(body.size()).c_str());
+    evhttp_send_reply_start(request, http_ok, nullptr);
+    evbuffer* part = evbuffer_new();
+    evbuffer_add(part, body.data(), body.size() / 2);
+    evhttp_send_reply_chunk_with_cb(
+        request, part,
+        [](evhttp_connection* written, void* arg) {
+            static_cast<event_loop*>(arg)->defer([written] { evhttp_connection_free(written); });
+        },
+        &loop_);
+    evbuffer_free(part);
+}
+
+} // namespace anvilpost::testing
--- /dev/null
+++ b/testing/soak/main.cpp
@@ -0,0 +1,148 @@
+// A randomized soak: real nodes as child processes on loopback, faults from outside them, and a book that
+// checks the platform's promises while it runs. Exit code 0 when every promise was kept, 1 otherwise, 2 for
+// wrong flags.
+#include "soak/trouble.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the first run.");
+ABSL_FLAG(int, runs, 1, "Runs, with one seed after the other.");
+ABSL_FLAG(int, seconds, 20, "Length of the troubled part of a run.");
+ABSL_FLAG(int, nodes, 5, "Nodes, 1 to 200.");
+ABSL_FLAG(int, workers, 4, "Workers of each of the two services, 1 to 100.");
+ABSL_FLAG(int, callers, 20, "Callers, each with one connection.");
+ABSL_FLAG(int, net, 1, "Addresses are 127.NET.x.y; choose another for a run beside this one.");
+ABSL_FLAG(std::string, node, ANVILPOST_NODE_PROGRAM, "The node's program.");
+ABSL_FLAG(std::string, folder, "soak-runs",
+          "Settings and logs of the runs; those of clean runs are removed.");
+
+namespace anvilpost::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration time_to_start = 8s;
+constexpr duration time_to_recover = 8s;
+constexpr duration measured_at_the_end = 3s;
+constexpr std::uint64_t longest_gap_ms = 1200;
+
+/// Part of the requests that must be served once all trouble has been over for `time_to_recover`.
+constexpr double served_when_calm = 0.95;
+
+/// Bound of the target for one node.
+constexpr double memory_bound_mb = 128;
+
+/// Troubles come in phases: some seconds of anything, then some of planned work only, during which the
+/// promises with a time bound are checked.
+constexpr duration phase = 8s;
+
+bool run_seed(std::uint64_t seed, const std::string& folder)
+{
+    world_settings settings;
+    settings.daemon_ = absl::GetFlag(FLAGS_node);
+    settings.folder_ = folder;
+    settings.seed_ = seed;
+    settings.net_ = absl::GetFlag(FLAGS_net);
+    settings.nodes_ = absl::GetFlag(FLAGS_nodes);
+    settings.workers_per_service_ = absl::GetFlag(FLAGS_workers);
+    world target(settings);
+    trouble_maker troubles(target);
+    target.run_for(2s);
+    target.start_callers(absl::GetFlag(FLAGS_callers), 100ms);
+    target.run_until([&] { return target.served_part(target.now() - 1s) >= served_when_calm; },
+                     time_to_start);
+    const auto start = target.now();
+    const auto end = start + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+    while (target.now() < end) {
+        const bool anything = (target.now() - start) / phase % 2 == 0;
+        auto kind = static_cast<trouble_kind>(random_below(target.random(), trouble_kinds));
+        while (!anything && !is_planned(kind)) {
+            kind = static_cast<trouble_kind>(random_below(target.random(), trouble_kinds));
+        }
+        const double at = std::chrono::duration<double>(target.now() - start).count();
+        std::printf("  %6.2f s %s\n", at, troubles.start(kind).c_str());
+        std::fflush(stdout);
+        target.run_for(std::chrono::milliseconds(1 + random_below(target.random(), longest_gap_ms)));
+    }
+    target.run_for(time_to_recover);
+    const auto calm_from = target.now();
+    target.run_for(measured_at_the_end);
+    const double served = target.served_part(calm_from);
+    const double memory = target.peak_node_memory();
+    if (served < served_when_calm) {
+        target.book().report("service recovers", "served " + std::to_string(served));
+    }
+    if (memory > memory_bound_mb) {
+        target.book().report("memory stays in bounds", std::to_string(memory) + " MB");
+    }
+    target.finish();
+    const auto& broken = target.book().broken();
+    std::printf(
+        "seed %llu: %zu requests, %.3f served in calm, %.0f MB at most, own stalls up to %.0f ms, %zu broken "
+        "promises\n",
+        static_cast<unsigned long long>(seed), target.book().requests().size(), served, memory,
+        std::chrono::duration<double, std::milli>(target.longest_stall()).count(), broken.size());
+    for (const auto& each : broken) {
+        std::printf("  BROKEN %s\n", each.c_str());
+    }
+    std::fflush(stdout);
+    return broken.empty();
+}
+
+bool flags_are_valid()
+{
+    const auto within = [](const char* name, int value, int least, int most) {
+        if (value < least || value > most) {
+            std::fprintf(stderr, "--%s: must lie between %d and %d\n", name, least, most);
+            return false;
+        }
+        return true;
+    };
+    bool valid = within("nodes", absl::GetFlag(FLAGS_nodes), 1, 200);
+    valid = within("workers", absl::GetFlag(FLAGS_workers), 1, 100) && valid;
+    valid = within("callers", absl::GetFlag(FLAGS_callers), 1, 2000) && valid;
+    valid = within("seconds", absl::GetFlag(FLAGS_seconds), 1, 3600) && valid;
+    valid = within("runs", absl::GetFlag(FLAGS_runs), 1, 1000) && valid;
+    return within("net", absl::GetFlag(FLAGS_net), 1, 254) && valid;
+}
+
+} // namespace
+} // namespace anvilpost::testing
+
+int main(int count, char** arguments)
+{
+    using namespace anvilpost::testing;
+    absl::SetProgramUsageMessage("Runs nodes under random faults and checks the platform's promises.");
+    absl::ParseCommandLine(count, arguments);
+    if (!flags_are_valid()) {
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    int failed = 0;
+    try {
+        for (int i = 0; i < absl::GetFlag(FLAGS_runs); ++i) {
+            const auto seed = absl::GetFlag(FLAGS_seed) + static_cast<std::uint64_t>(i);
+            const std::string folder = absl::GetFlag(FLAGS_folder) + "/seed-" + std::to_string(seed);
+            std::filesystem::remove_all(folder);
+            if (run_seed(seed, folder)) {
+                std::filesystem::remove_all(folder);
+            }
+            else {
+                ++failed;
+                std::printf("  logs: %s\n", folder.c_str());
+            }
+        }
+    }
+    catch (const std::exception& failure) {
+        std::fprintf(stderr, "soak: %s\n", failure.what());
+        return 2;
+    }
+    std::printf("%d runs, %d with broken promises\n", absl::GetFlag(FLAGS_runs), failed);
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/testing/support/child_process.cpp
@@ -0,0 +1,88 @@
+// fork, exec and wait.
+#include "support/child_process.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace anvilpost::testing {
+
+child_process::child_process(const std::string& path, std::vector<std::string> arguments,
+                             const child_options& options)
+{
+    pid_ = fork();
+    if (pid_ < 0) {
+        throw std::runtime_error("cannot fork");
+    }
+    if (pid_ > 0) {
+        return;
+    }
+    // A test that crashes leaves no processes behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    for (const auto& [name, value] : options.environment_) {
+        setenv(name.c_str(), value.c_str(), 1);
+    }
+    std::string program = path;
+    std::vector<char*> pointers{program.data()};
+    for (auto& argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    const int log = open(options.log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(log, STDERR_FILENO);
+    dup2(log, STDOUT_FILENO);
+    closefrom(STDERR_FILENO + 1);
+    execv(program.c_str(), pointers.data());
+    _exit(127);
+}
+
+child_process::~child_process()
+{
+    if (running()) {
+        signal(SIGKILL);
+        wait();
+    }
+}
+
+void child_process::signal(int number) const
+{
+    if (pid_ > 0) {
+        kill(pid_, number);
+    }
+}
+
+bool child_process::running()
+{
+    if (pid_ < 0) {
+        return false;
+    }
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == 0) {
+        return true;
+    }
+    note_end(status);
+    return false;
+}
+
+int child_process::wait()
+{
+    if (pid_ > 0) {
+        int status = 0;
+        waitpid(pid_, &status, 0);
+        note_end(status);
+    }
+    return exit_code_;
+}
+
+void child_process::note_end(int status)
+{
+    constexpr int signalled = 128;
+    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : signalled + WTERMSIG(status);
+    pid_ = -1;
+}
+
+} // namespace anvilpost::testing
--- a/tests/end_to_end/call_path_test.cpp
+++ b/tests/end_to_end/call_path_test.cpp
@@ -185,7 +185,7 @@
 
 TEST_CASE("wrong settings are all reported at once and nothing starts")
 {
-    child_process wrong("src/anvilpostd", {"--listen=nowhere", "--drain_timeout_ms=-1", "--colour=red"});
+    program_process wrong("src/anvilpostd", {"--listen=nowhere", "--drain_timeout_ms=-1", "--colour=red"});
     REQUIRE(wrong.wait() == 2);
 }
 
--- a/tests/end_to_end/fleet_test.cpp
+++ b/tests/end_to_end/fleet_test.cpp
@@ -137,11 +137,11 @@
     fleet.put_desk();
     REQUIRE(eventually([&] { return meshed(fleet); }));
     const std::string local = "127.0.0.1:";
-    child_process stranger("src/anvilpostd",
-                           {"--node=stranger", "--listen=" + local + std::to_string(fleet.call_port(9)),
-                            "--admin=" + local + std::to_string(fleet.admin_port(9)),
-                            "--store=" + local + "1", "--mesh=" + local + std::to_string(fleet.mesh_port(9)),
-                            "--mesh_secret=wrong", "--peers=" + local + std::to_string(fleet.mesh_port(0))});
+    program_process stranger(
+        "src/anvilpostd", {"--node=stranger", "--listen=" + local + std::to_string(fleet.call_port(9)),
+                           "--admin=" + local + std::to_string(fleet.admin_port(9)), "--store=" + local + "1",
+                           "--mesh=" + local + std::to_string(fleet.mesh_port(9)), "--mesh_secret=wrong",
+                           "--peers=" + local + std::to_string(fleet.mesh_port(0))});
     REQUIRE(eventually([&] {
         return send(fleet.admin_port(0), "GET", "/metrics").body_.find("mesh_links_refused_total 0") ==
                std::string::npos;
--- a/tests/end_to_end/intents_test.cpp
+++ b/tests/end_to_end/intents_test.cpp
@@ -101,7 +101,7 @@
     std::ofstream(folder + "/bad.json") << json{{"changes", json::array()}}.dump();
     const std::string node = "--node=127.0.0.1:" + std::to_string(fleet.admin_port(0));
     const auto exit_code = [](std::vector<std::string> arguments) {
-        return child_process("src/anvilpostctl", std::move(arguments)).wait();
+        return program_process("src/anvilpostctl", std::move(arguments)).wait();
     };
     CHECK(exit_code({"intent", node, "--file=" + folder + "/good.json"}) == 0);
     CHECK(exit_code({"intent", node, "--file=" + folder + "/bad.json"}) == 3);
--- a/tests/end_to_end/processes.cpp
+++ b/tests/end_to_end/processes.cpp
@@ -2,12 +2,9 @@
 #include "end_to_end/processes.h"
 
 #include <arpa/inet.h>
-#include <csignal>
-#include <fcntl.h>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 namespace anvilpost::testing {
@@ -96,67 +93,9 @@
 
 } // namespace
 
-child_process::child_process(const std::string& program, std::vector<std::string> arguments)
+program_process::program_process(const std::string& program, std::vector<std::string> arguments)
+    : child_process(build_dir + "/" + program, std::move(arguments), {build_dir + "/end_to_end.log", {}})
 {
-    pid_ = fork();
-    if (pid_ < 0) {
-        throw std::runtime_error("cannot fork");
-    }
-    if (pid_ > 0) {
-        return;
-    }
-    std::vector<char*> pointers;
-    std::string path = build_dir + "/" + program;
-    pointers.push_back(path.data());
-    for (auto& argument : arguments) {
-        pointers.push_back(argument.data());
-    }
-    pointers.push_back(nullptr);
-    const int log = open((build_dir + "/end_to_end.log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(log, STDERR_FILENO);
-    dup2(log, STDOUT_FILENO);
-    execv(path.c_str(), pointers.data());
-    _exit(127);
-}
-
-child_process::~child_process()
-{
-    if (running()) {
-        signal(SIGKILL);
-        wait();
-    }
-}
-
-void child_process::signal(int number) const
-{
-    if (pid_ > 0) {
-        kill(pid_, number);
-    }
-}
-
-bool child_process::running()
-{
-    if (pid_ < 0) {
-        return false;
-    }
-    int status = 0;
-    if (waitpid(pid_, &status, WNOHANG) == 0) {
-        return true;
-    }
-    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    pid_ = -1;
-    return false;
-}
-
-int child_process::wait()
-{
-    if (pid_ > 0) {
-        int status = 0;
-        waitpid(pid_, &status, 0);
-        exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-        pid_ = -1;
-    }
-    return exit_code_;
 }
 
 http_answer send(std::uint16_t port, const std::string& method, const std::string& path,
@@ -218,7 +157,7 @@
              const std::vector<std::string>& node_flags)
     : base_(next_base_port()), upstream_flags_(upstream_flags), node_flags_(node_flags)
 {
-    platform_ = std::make_unique<child_process>(
+    platform_ = std::make_unique<program_process>(
         "testing/platform_stand_in", std::vector<std::string>{"--ports=" + std::to_string(platform_port(0)) +
                                                               "," + std::to_string(platform_port(1))});
     eventually([&] { return send(platform_port(), "GET", "/stand-in/counters").status_ == 200; });
@@ -242,7 +181,7 @@
     std::vector<std::string> arguments{"--port=" + std::to_string(upstream_port(index))};
     arguments.insert(arguments.end(), upstream_flags_.begin(), upstream_flags_.end());
     upstreams_[static_cast<std::size_t>(index)] =
-        std::make_unique<child_process>("testing/upstream_stand_in", arguments);
+        std::make_unique<program_process>("testing/upstream_stand_in", arguments);
     eventually([&] { return send(upstream_port(index), "GET", "/healthz").status_ == 200; });
 }
 
@@ -260,7 +199,7 @@
                                        "--peers=" + local + std::to_string(mesh_port(0)) + "," + local +
                                            std::to_string(mesh_port(1))};
     arguments.insert(arguments.end(), node_flags_.begin(), node_flags_.end());
-    nodes_[static_cast<std::size_t>(index)] = std::make_unique<child_process>("src/anvilpostd", arguments);
+    nodes_[static_cast<std::size_t>(index)] = std::make_unique<program_process>("src/anvilpostd", arguments);
 }
 
 nlohmann::json fleet::status(int node) const
--- a/tests/end_to_end/processes.h
+++ b/tests/end_to_end/processes.h
@@ -1,32 +1,19 @@
 // Starts and ends the real programs for end-to-end tests, and talks HTTP to them.
 #pragma once
 
+#include "support/child_process.h"
+
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace anvilpost::testing {
 
-/// A child process. Its destructor kills it and waits for it.
-class child_process {
+/// A program of this build, named by its path within the build folder; its output goes to end_to_end.log.
+class program_process : public child_process {
 public:
-    child_process(const std::string& program, std::vector<std::string> arguments);
-    child_process(const child_process&) = delete;
-    child_process& operator=(const child_process&) = delete;
-    ~child_process();
-
-    void signal(int number) const;
-
-    /// Waits for the end and returns the exit code, or 128 plus the signal's number.
-    int wait();
-    [[nodiscard]] bool running();
-    [[nodiscard]] pid_t pid() const { return pid_; }
-
-private:
-    pid_t pid_ = -1;
-    int exit_code_ = -1;
+    program_process(const std::string& program, std::vector<std::string> arguments);
 };
 
 struct http_answer {
@@ -87,9 +74,9 @@
     [[nodiscard]] std::uint16_t mesh_port(int i) const { return base_ + 80 + static_cast<std::uint16_t>(i); }
     [[nodiscard]] nlohmann::json status(int node) const;
 
-    std::unique_ptr<child_process> platform_;
-    std::vector<std::unique_ptr<child_process>> upstreams_;
-    std::vector<std::unique_ptr<child_process>> nodes_;
+    std::unique_ptr<program_process> platform_;
+    std::vector<std::unique_ptr<program_process>> upstreams_;
+    std::vector<std::unique_ptr<program_process>> nodes_;
 
 private:
     std::uint16_t base_;
