Stopping nodes go on hearing loads; a clock set back no longer hides a restarted node

Cause 2: nodes took the greater incarnation, which comes from the time of day: a node that started again after its clock was set back stayed unheard for 30 s. Change: peers of the data centre are told as long as they give signs of life; of two incarnations the one heard last counts.

--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -184,7 +184,7 @@
 void peer_exchange::add_echoes(peer_message& message, time_point now) const
 {
     for (const auto& [name, last] : last_messages_) {
-        if (peers_.alive(name, now)) {
+        if (peers_.heard_lately(name, now)) {
             message.echoes_.push_back({last.identity_, last.sequence_, now - last.received_});
         }
     }
@@ -235,7 +235,7 @@
 
 void peer_exchange::tell_neighbours(time_point now)
 {
-    const auto neighbours = peers_.neighbours(now);
+    const auto neighbours = peers_.audience(now);
     if (neighbours.empty()) {
         return;
     }
--- a/src/core/fleet/peer_table.cpp
+++ b/src/core/fleet/peer_table.cpp
@@ -24,10 +24,10 @@
         return;
     }
     auto& known = found->second;
-    if (said.incarnation_ < known.peer_.incarnation_) {
+    const bool same_life = said.incarnation_ == known.peer_.incarnation_;
+    if (!same_life && heard < known.heard_) {
         return;
     }
-    const bool same_life = said.incarnation_ == known.peer_.incarnation_;
     const bool stopping = said.stopping_ || (same_life && known.peer_.stopping_);
     known.heard_ = same_life ? std::max(known.heard_, heard) : heard;
     known.peer_ = said;
@@ -40,11 +40,22 @@
                   [&](const auto& item) { return now - item.second.heard_ > settings_.forgotten_after_; });
 }
 
-bool peer_table::is_alive(const entry& known, time_point now) const
+bool peer_table::is_heard(const entry& known, time_point now) const
 {
     const bool near = known.peer_.data_centre_ == self_.data_centre_;
     const auto limit = near ? settings_.silent_after_ : settings_.remote_silent_after_;
-    return !known.peer_.stopping_ && now - known.heard_ <= limit;
+    return now - known.heard_ <= limit;
+}
+
+bool peer_table::is_alive(const entry& known, time_point now) const
+{
+    return !known.peer_.stopping_ && is_heard(known, now);
+}
+
+bool peer_table::heard_lately(const std::string& name, time_point now) const
+{
+    const auto found = entries_.find(name);
+    return found != entries_.end() && is_heard(found->second, now);
 }
 
 bool peer_table::alive(const std::string& name, time_point now) const
@@ -77,6 +88,17 @@
     return found;
 }
 
+std::vector<const peer*> peer_table::audience(time_point now) const
+{
+    std::vector<const peer*> found;
+    for (const auto& [unused, known] : entries_) {
+        if (known.peer_.data_centre_ == self_.data_centre_ && is_heard(known, now)) {
+            found.push_back(&known.peer_);
+        }
+    }
+    return found;
+}
+
 std::size_t peer_table::known_in_data_centre() const
 {
     return 1 +
--- a/src/core/fleet/peer_table.h
+++ b/src/core/fleet/peer_table.h
@@ -15,7 +15,7 @@
 /// What nodes tell each other about a node. A replaced VM is a new incarnation.
 struct peer {
     std::string name_;
-    std::uint64_t incarnation_ = 0; ///< Grows with each start of a node of that name.
+    std::uint64_t incarnation_ = 0; ///< Differs between the starts of a node of that name.
     std::string data_centre_;
     std::string ip_;
     std::uint16_t port_ = 0;         ///< For datagrams.
@@ -36,7 +36,7 @@
     duration forgotten_after_ = std::chrono::seconds(30);
 };
 
-/// Invariants: never holds this node itself; per name it holds the greatest incarnation heard of.
+/// Invariants: never holds this node itself; per name it holds the incarnation heard last.
 class peer_table {
 public:
     peer_table(peer self, const peer_table_settings& settings) : self_(std::move(self)), settings_(settings)
@@ -47,13 +47,18 @@
     void mark_self_stopping() { self_.stopping_ = true; }
     void set_silent_after(duration limit) { settings_.silent_after_ = limit; }
 
-    /// A peer gave a sign of life at `heard`, directly or as another one tells.
+    /// A peer gave a sign of life at `heard`, directly or as another one tells. Of two incarnations the one
+    /// heard later counts: the time of day, which numbers them, may have been set back between two starts.
     void hear(const peer& said, time_point heard);
 
     /// Drops peers that have been silent for long.
     void forget_silent(time_point now);
 
     [[nodiscard]] bool alive(const std::string& name, time_point now) const;
+
+    /// True while a peer gives signs of life, also when it is stopping: it serves callers to the end and
+    /// needs to know what the others know.
+    [[nodiscard]] bool heard_lately(const std::string& name, time_point now) const;
     [[nodiscard]] const peer* find(const std::string& name) const;
 
     /// Peers known, alive or not.
@@ -62,6 +67,9 @@
     /// Live peers of this data centre, without this node.
     [[nodiscard]] std::vector<const peer*> neighbours(time_point now) const;
 
+    /// Peers of this data centre that want to be told of loads and changes: the live and the stopping ones.
+    [[nodiscard]] std::vector<const peer*> audience(time_point now) const;
+
     /// Live peers of the whole fleet, without this node.
     [[nodiscard]] std::vector<const peer*> live(time_point now) const;
 
@@ -94,6 +102,7 @@
         time_point heard_{};
     };
 
+    [[nodiscard]] bool is_heard(const entry& known, time_point now) const;
     [[nodiscard]] bool is_alive(const entry& known, time_point now) const;
 
     peer self_;
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -233,3 +233,26 @@
         }
     }
 }
+
+TEST_CASE("a node that is stopping still learns loads and how current its view is")
+{
+    network net;
+    for (int i = 0; i < 4; ++i) {
+        net.add("n" + std::to_string(i), "north");
+    }
+    net.run(2s);
+    auto& stopping = *net.nodes_[0];
+    auto& other = *net.nodes_[1];
+    stopping.exchange_.announce_stopping();
+    net.run(1s);
+    for (auto& node : net.nodes_) {
+        give_view(*node, 7, net.clock_.now() - 1s);
+    }
+    other.follower_.on_peer_view(7, net.clock_.now());
+    other.exchange_.note_load("log", "u1", {3, 6, 1.0}, true, true);
+    net.run(500ms);
+    const auto& upstream = *stopping.engine_.services().at("log").upstreams().at("u1");
+    REQUIRE(upstream.report_taken().has_value());
+    CHECK(net.clock_.now() - *upstream.report_taken() < 600ms);
+    CHECK(stopping.follower_.age() < 700ms);
+}
--- /dev/null
+++ b/tests/core/peer_table_test.cpp
@@ -0,0 +1,49 @@
+// Tests of what one node remembers of the others.
+#include "core/fleet/peer_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvilpost;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+peer node(const std::string& name, std::uint64_t incarnation = 1)
+{
+    return {name, incarnation, "north", "10.0.0.1", 1, 2, 200, false};
+}
+
+const time_point start = time_point(100s);
+
+} // namespace
+
+TEST_CASE("a node that starts again after its time of day was set back is heard at once")
+{
+    peer_table peers(node("self"), {});
+    peers.hear(node("a", 5000), start);
+    peers.hear(node("a", 3000), start + 1s);
+    REQUIRE(peers.find("a")->incarnation_ == 3000);
+    CHECK(peers.alive("a", start + 1s));
+}
+
+TEST_CASE("old word of a former incarnation does not displace the present one")
+{
+    peer_table peers(node("self"), {});
+    peers.hear(node("a", 5000), start + 1s);
+    peers.hear(node("a", 9000), start);
+    CHECK(peers.find("a")->incarnation_ == 5000);
+}
+
+TEST_CASE("a stopping node has no duties and is still told what happens")
+{
+    peer_table peers(node("self"), {});
+    auto stopping = node("a");
+    stopping.stopping_ = true;
+    peers.hear(stopping, start);
+    CHECK_FALSE(peers.alive("a", start));
+    CHECK(peers.neighbours(start).empty());
+    CHECK(peers.heard_lately("a", start));
+    REQUIRE(peers.audience(start).size() == 1);
+    CHECK(peers.audience(start + 5s).empty());
+}
