Strikes no longer multiply with the fleet; the loop's delays are seen; connects that succeed late count

Cause: each node passed on every strike it heard of, at once and in each message for a second. Change: a strike goes from the node that saw it to its neighbours and through the leaders elsewhere, 24 in a message at most, with the next message. A loop that is late by 60 ms says so (log line and counter). A connection that stands when its time-out is handled is used. The test counts messages and bytes of 20 nodes under 50 strikes a second.

--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace anvilpost {
@@ -209,6 +210,15 @@
     }
 }
 
+bool upstream_pool::connected_meanwhile(const connection& from)
+{
+    if (from.connected_) {
+        return false;
+    }
+    pollfd socket{bufferevent_getfd(from.stream_.get()), POLLOUT, 0};
+    return poll(&socket, 1, 0) == 1 && socket.revents == POLLOUT;
+}
+
 void upstream_pool::on_event(connection& from, short what)
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
@@ -216,6 +226,13 @@
         bufferevent_set_timeouts(from.stream_.get(), nullptr, nullptr);
         return;
     }
+    if ((what & BEV_EVENT_TIMEOUT) != 0 && connected_meanwhile(from)) {
+        // The loop was late: it sees the time-out before the connection that was made in time.
+        const timeval connect_timeout = to_timeval(limits_.connect_timeout_);
+        bufferevent_set_timeouts(from.stream_.get(), nullptr, &connect_timeout);
+        bufferevent_enable(from.stream_.get(), EV_READ | EV_WRITE);
+        return;
+    }
     if (from.idle_) {
         retire_soon(from);
         return;
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -109,6 +109,9 @@
     void write_request(attempt& current, const outgoing_request& request);
     void on_input(connection& from);
     void on_event(connection& from, short what);
+
+    /// True when a connection that was taken to time out stands already.
+    static bool connected_meanwhile(const connection& from);
     void read_answer(attempt& current, bool peer_closed);
     bool skip_message(attempt& current);
     void pass_on_when_due(attempt& current);
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -35,8 +35,13 @@
 constexpr std::size_t peers_told = 2;
 constexpr std::size_t peers_told_when_asked = 12;
 
-/// A strike is told again for this long, since datagrams get lost.
-constexpr duration strike_told_for = 1s;
+/// A strike is told again for this long, since datagrams get lost; a node with many neighbours writes to
+/// each less than twice a second.
+constexpr duration strike_told_for = 2s;
+
+/// Strikes in one message at most, the newest first. Where upstreams reset many connections there are far
+/// more, none of which will matter.
+constexpr std::size_t most_strikes_told = 24;
 
 /// It is remembered for longer, so that nodes do not tell each other in turn for ever.
 constexpr duration strike_remembered_for = 10s;
@@ -110,13 +115,35 @@
 
 void peer_exchange::note_strike(std::uint64_t fingerprint, const std::string& upstream)
 {
-    const request_strike strike{fingerprint, upstream};
-    const bool known = std::any_of(strikes_.begin(), strikes_.end(),
-                                   [&](const told_strike& told) { return told.strike_ == strike; });
-    if (!known) {
-        strikes_.push_back({strike, ports_.clock_.now()});
-        next_shares_ = {};
-        next_leaders_ = {};
+    const bool added =
+        strikes_.try_emplace({fingerprint, upstream}, told_strike{ports_.clock_.now(), true, true}).second;
+    shares_changed_ = shares_changed_ || added;
+}
+
+void peer_exchange::take_strikes(const peer_message& message, time_point now)
+{
+    const bool from_here = message.sender_.data_centre_ == peers_.self().data_centre_;
+    for (const auto& strike : message.strikes_) {
+        const told_strike passed_on{now, duties_.leads() && !from_here, duties_.leads() && from_here};
+        if (strikes_.try_emplace(strike, passed_on).second) {
+            ports_.engine_.on_peer_strike(strike.fingerprint_, strike.upstream_);
+        }
+    }
+}
+
+void peer_exchange::add_strikes(peer_message& message, audience to, time_point now) const
+{
+    std::vector<std::pair<time_point, const request_strike*>> told;
+    for (const auto& [strike, how] : strikes_) {
+        const bool wanted = to == audience::neighbours ? how.for_neighbours_ : how.for_leaders_;
+        if (wanted && now - how.noted_ <= strike_told_for) {
+            told.emplace_back(how.noted_, &strike);
+        }
+    }
+    std::sort(told.begin(), told.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    told.resize(std::min(told.size(), most_strikes_told));
+    for (const auto& [unused, strike] : told) {
+        message.strikes_.push_back(*strike);
     }
 }
 
@@ -127,7 +154,7 @@
         next_upkeep_ = now + upkeep_period;
         peers_.forget_silent(now);
         std::erase_if(strikes_,
-                      [&](const told_strike& told) { return now - told.noted_ > strike_remembered_for; });
+                      [&](const auto& told) { return now - told.second.noted_ > strike_remembered_for; });
         const auto neighbours = peers_.neighbours(now).size();
         peers_.set_silent_after(
             std::max<duration>(shortest_silence, share_period(neighbours) * messages_missed));
@@ -173,11 +200,6 @@
         message.view_revision_ = ports_.follower_.view().revision();
         message.view_age_ = now - ports_.follower_.verified_at();
     }
-    for (const auto& told : strikes_) {
-        if (now - told.noted_ <= strike_told_for) {
-            message.strikes_.push_back(told.strike_);
-        }
-    }
     return message;
 }
 
@@ -256,6 +278,7 @@
         next_shares_ = now + share_period(neighbours.size());
         shares_changed_ = false;
         add_shares(message);
+        add_strikes(message, audience::neighbours, now);
         add_echoes(message, now);
         for (const auto& sighting : peers_.sample(peers_told, ports_.random_, now)) {
             message.peers_.push_back({*sighting.peer_, sighting.age_});
@@ -286,6 +309,7 @@
         }
         auto message = start_message(now);
         add_own_loads(message, now);
+        add_strikes(message, audience::leaders, now);
         if (const auto last = last_messages_.find(leader->name_); last != last_messages_.end()) {
             message.echoes_.push_back(
                 {last->second.identity_, last->second.sequence_, now - last->second.received_});
@@ -356,10 +380,7 @@
         send(sender, encode(answer));
     }
     take_view(*message, now);
-    for (const auto& strike : message->strikes_) {
-        ports_.engine_.on_peer_strike(strike.fingerprint_, strike.upstream_);
-        note_strike(strike.fingerprint_, strike.upstream_);
-    }
+    take_strikes(*message, now);
     take_loads(*message, now);
     if (message->has_shares_) {
         take_shares(*message, last);
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -100,9 +100,15 @@
         std::set<std::uint32_t> shares_; ///< Upstreams at which the peer had calls in flight.
     };
 
+    /// Whom a message goes to. A strike goes from the node that saw it to its neighbours and, through the
+    /// leaders, to the neighbours elsewhere; nobody else repeats it, or strikes would multiply with the
+    /// fleet.
+    enum class audience { neighbours, leaders };
+
     struct told_strike {
-        request_strike strike_;
         time_point noted_{};
+        bool for_neighbours_ = false;
+        bool for_leaders_ = false;
     };
 
     struct told_counts {
@@ -116,6 +122,8 @@
     void tell_leaders(time_point now);
     peer_message start_message(time_point now);
     void add_shares(peer_message& message);
+    void add_strikes(peer_message& message, audience to, time_point now) const;
+    void take_strikes(const peer_message& message, time_point now);
     void add_echoes(peer_message& message, time_point now) const;
     void add_new_loads(peer_message& message, time_point now);
     void add_own_loads(peer_message& message, time_point now) const;
@@ -136,7 +144,7 @@
     std::unordered_map<std::uint32_t, held_load> loads_; ///< The latest of each upstream.
     std::map<std::string, last_message> last_messages_;  ///< By peer name.
     std::map<std::uint32_t, told_counts> told_counts_;
-    std::vector<told_strike> strikes_;
+    std::map<request_strike, told_strike> strikes_;
     std::uint64_t sequence_ = 0;
     static constexpr std::size_t remembered_messages = 1024;
     std::array<time_point, remembered_messages> sent_at_{}; ///< By sequence, modulo its size.
--- a/src/core/fleet/peer_messages.h
+++ b/src/core/fleet/peer_messages.h
@@ -50,7 +50,7 @@
     std::uint64_t fingerprint_ = 0;
     std::string upstream_;
 
-    bool operator==(const request_strike&) const = default;
+    auto operator<=>(const request_strike&) const = default;
 };
 
 struct peer_message {
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -15,6 +15,9 @@
 constexpr duration wait_for_peers = std::chrono::milliseconds(180);
 constexpr duration wait_for_peers_as_seed = std::chrono::milliseconds(20);
 
+/// Delay of the loop that an operator should hear of; calls are delayed by as much.
+constexpr duration late_tick = std::chrono::milliseconds(60);
+
 constexpr duration fetch_timeout = std::chrono::milliseconds(400);
 constexpr duration probe_choice_period = std::chrono::milliseconds(200);
 
@@ -122,9 +125,24 @@
     peers_.on_datagram(bytes);
 }
 
+/// A loop that is late has too little processor time, or the machine stood still: what this node measured
+/// meanwhile says more of itself than of others.
+void registry_node::note_own_pace()
+{
+    const auto late = clock_.now() - last_tick_ - peer_exchange::tick_period;
+    if (last_tick_ != time_point{} && late > late_tick) {
+        ++late_ticks_;
+        write_log(log_level::warning, "event loop was late",
+                  {{"late_ms", std::chrono::duration<double, std::milli>(late).count()},
+                   {"in_flight", path_.callers().open_exchanges()}});
+    }
+    last_tick_ = clock_.now();
+}
+
 void registry_node::on_tick()
 {
     clock_.notice_suspension();
+    note_own_pace();
     peers_.on_tick();
     follower_.on_tick();
     if (registry_.drop_lapsed()) {
@@ -305,6 +323,7 @@
     add_metric(text, "view_fetches_total", "counter", exchange.view_fetches_);
     add_metric(text, "probes_sent_total", "counter", prober_.sent());
     add_metric(text, "probes_unanswered_total", "counter", prober_.unanswered());
+    add_metric(text, "event_loop_late_total", "counter", late_ticks_);
     add_metric(text, "log_lines_dropped_total", "counter", dropped_log_lines());
     return text;
 }
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -72,6 +72,7 @@
 
 private:
     void on_tick();
+    void note_own_pace();
     void on_datagram(const std::string& bytes);
     void on_probe_finding(const probe_target& target, const probe_finding& finding);
     void choose_probe_targets();
@@ -102,6 +103,8 @@
     peer_exchange peers_;
     health_prober prober_;
     time_point next_probe_choice_{};
+    time_point last_tick_{};
+    std::uint64_t late_ticks_ = 0;
     bool fetching_view_ = false;
     page_server ready_server_;
     page_server control_server_;
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -256,3 +256,33 @@
     CHECK(net.clock_.now() - *upstream.report_taken() < 600ms);
     CHECK(stopping.follower_.age() < 700ms);
 }
+
+TEST_CASE("connections that many upstreams reset do not multiply what nodes tell each other")
+{
+    network net;
+    for (int i = 0; i < 20; ++i) {
+        net.add("n" + std::to_string(i), i % 2 == 0 ? "north" : "south");
+    }
+    net.run(3s);
+    const auto count = [&] {
+        std::pair<std::uint64_t, std::uint64_t> sums;
+        for (const auto& node : net.nodes_) {
+            sums.first += node->exchange_.counters().messages_sent_;
+            sums.second += node->exchange_.counters().bytes_sent_;
+        }
+        return sums;
+    };
+    const auto start = count();
+    net.run(2s);
+    const auto quiet = count();
+    for (std::uint64_t step = 0; step < 100; ++step) {
+        // A strike of a request of its own at one node, 50 a second in the fleet.
+        net.nodes_[step % 20]->exchange_.note_strike(1000 + step, "u" + std::to_string(step));
+        net.run(20ms);
+    }
+    const auto troubled = count();
+    const auto quiet_messages = quiet.first - start.first;
+    const auto quiet_bytes = quiet.second - start.second;
+    CHECK(static_cast<double>(troubled.first - quiet.first) < 1.3 * static_cast<double>(quiet_messages));
+    CHECK(static_cast<double>(troubled.second - quiet.second) < 3.0 * static_cast<double>(quiet_bytes));
+}
