--- a/src/core/fleet/peer_messages.h
+++ b/src/core/fleet/peer_messages.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace anvilpost {
@@ -50,7 +51,11 @@
     std::uint64_t fingerprint_ = 0;
     std::string upstream_;
 
-    auto operator<=>(const request_strike&) const = default;
+    bool operator==(const request_strike&) const = default;
+    bool operator<(const request_strike& other) const
+    {
+        return std::tie(fingerprint_, upstream_) < std::tie(other.fingerprint_, other.upstream_);
+    }
 };
 
 struct peer_message {
--- a/testing/platform_world/world.cpp
+++ b/testing/platform_world/world.cpp
@@ -122,9 +122,9 @@
         {"platform", {{"platform", {{"address", at(address(store_link_part, node), store_port)}}}}},
         {"terms",
          {{"bounds",
-           {{"drain_ms", world_bounds::drain_.count()},
-            {"grace_s", world_bounds::grace_.count()},
-            {"config_apply_ms", world_bounds::configuration_.count()},
+           {{"drain_ms", world_bounds::drain.count()},
+            {"grace_s", world_bounds::grace.count()},
+            {"config_apply_ms", world_bounds::configuration.count()},
             {"retry_budget_ratio", 0.2},
             {"retry_budget_slack", 56},
             {"probes_per_s", 60}}}}}};
@@ -173,10 +173,10 @@
 {
     auto& node = nodes_.at(index(number));
     if (node_runs(number)) {
-        if (now() - node.asked_to_stop_ > world_bounds::grace_ && calm() && node.calm_stop_) {
+        if (now() - node.asked_to_stop_ > world_bounds::grace && calm() && node.calm_stop_) {
             book_.report("a planned stop ends within the grace time", "node-" + std::to_string(number));
         }
-        if (now() - node.asked_to_stop_ > world_bounds::grace_) {
+        if (now() - node.asked_to_stop_ > world_bounds::grace) {
             node.process_->signal(SIGKILL);
         }
         node.check_->start(stop_check_period);
@@ -265,7 +265,7 @@
     for (int i = 0; i < worker_count(); ++i) {
         auto& place = workers_.at(index(i));
         const bool left = place.server_ != nullptr && place.server_->draining() &&
-                          now() - place.leaving_since_ > world_bounds::drain_ + 2s;
+                          now() - place.leaving_since_ > world_bounds::drain + 2s;
         if (left) {
             crash_worker(i);
         }
@@ -291,7 +291,7 @@
 bool world::stalled_lately() const
 {
     const bool now_in_a_stall = now() - last_pace_ > shortest_stall;
-    return now_in_a_stall || (longest_stall_ > duration{} && now() - last_stall_ < world_bounds::stable_);
+    return now_in_a_stall || (longest_stall_ > duration{} && now() - last_stall_ < world_bounds::stable);
 }
 
 void world::put_configuration()
@@ -327,11 +327,11 @@
 
 void world::on_arrival(int number, arrival what)
 {
-    what.held_up_ = worker_link(number).harmed_within(world_bounds::stable_) || stalled_lately();
+    what.held_up_ = worker_link(number).harmed_within(world_bounds::stable) || stalled_lately();
     book_.on_arrival(what);
     const auto& place = workers_.at(index(number));
     const bool leaving = place.server_ != nullptr && place.server_->draining();
-    if (leaving && calm() && now() - place.leaving_since_ > world_bounds::drain_ + check_slack) {
+    if (leaving && calm() && now() - place.leaving_since_ > world_bounds::drain + check_slack) {
         book_.report("a leaving worker gets no new work", what.request_id_ + " at " + what.worker_);
     }
     check_route(what);
@@ -353,7 +353,7 @@
         book_.report("requests run where the configuration sends them",
                      what.request_id_ + " at " + what.service_);
     }
-    else if (calm() && request->sent_ > moved->second.second + world_bounds::configuration_ + check_slack) {
+    else if (calm() && request->sent_ > moved->second.second + world_bounds::configuration + check_slack) {
         book_.report("configuration is in force in time", what.request_id_ + " at " + what.service_);
     }
 }
@@ -410,7 +410,7 @@
 
 bool world::calm() const
 {
-    return now() > disturbed_until_ + world_bounds::stable_;
+    return now() > disturbed_until_ + world_bounds::stable;
 }
 
 void world::run_for(duration length)
@@ -485,7 +485,7 @@
             }
             return !any;
         },
-        world_bounds::grace_ + 1s);
+        world_bounds::grace + 1s);
     book_.check_at_the_end();
 }
 
--- a/testing/platform_world/world.h
+++ b/testing/platform_world/world.h
@@ -38,10 +38,10 @@
 
 /// Bounds of the platform's settings, in the same figures as on the users' small sites.
 struct world_bounds {
-    static constexpr std::chrono::milliseconds drain_{2000};
-    static constexpr std::chrono::milliseconds configuration_{2000};
-    static constexpr std::chrono::milliseconds stable_{3000};
-    static constexpr std::chrono::seconds grace_{6};
+    static constexpr std::chrono::milliseconds drain{2000};
+    static constexpr std::chrono::milliseconds configuration{2000};
+    static constexpr std::chrono::milliseconds stable{3000};
+    static constexpr std::chrono::seconds grace{6};
 };
 
 class world {
--- a/testing/soak/trouble.cpp
+++ b/testing/soak/trouble.cpp
@@ -91,7 +91,7 @@
     if (!is_planned(kind)) {
         world_.disturb(length + longest_trouble_ms * 1ms);
     }
-    const std::string at_node = std::string(name_of(kind)) + " node-" + std::to_string(node);
+    std::string at_node = std::string(name_of(kind)) + " node-" + std::to_string(node);
     switch (kind) {
     case trouble_kind::kill_node: kill(node); return at_node;
     case trouble_kind::kill_several_nodes:
@@ -149,7 +149,7 @@
 std::string trouble_maker::worker_trouble(trouble_kind kind, duration length)
 {
     const int number = some_worker();
-    const std::string what = std::string(name_of(kind)) + " " + std::to_string(number);
+    std::string what = std::string(name_of(kind)) + " " + std::to_string(number);
     if (!world_.worker_runs(number)) {
         world_.start_worker(number);
         return what + " (was away: started)";
@@ -161,7 +161,7 @@
         else if (!world_.server(number).draining()) {
             world_.drain_worker(number);
         }
-        const auto gone = kind == trouble_kind::crash_worker ? length : duration(world_bounds::drain_ + 5s);
+        const auto gone = kind == trouble_kind::crash_worker ? length : duration(world_bounds::drain + 5s);
         later(gone, [this, number] {
             if (!world_.worker_runs(number)) {
                 world_.start_worker(number);
@@ -190,7 +190,7 @@
     const bool to_store = kind <= trouble_kind::store_link_forgotten;
     const int number = to_store ? some_node() : some_worker();
     auto& link = to_store ? world_.store_link(number) : world_.worker_link(number);
-    const std::string what = std::string(name_of(kind)) + " " + std::to_string(number);
+    std::string what = std::string(name_of(kind)) + " " + std::to_string(number);
     switch (kind) {
     case trouble_kind::store_link_forgotten:
     case trouble_kind::worker_link_forgotten: link.forget_open(); return what;
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -61,7 +61,7 @@
     world target(settings_for(201));
     start_serving(target);
     target.move_route(0, "log");
-    target.run_for(world_bounds::configuration_);
+    target.run_for(world_bounds::configuration);
     const auto from = target.now();
     target.run_for(2s);
     target.finish();
@@ -173,7 +173,7 @@
     start_serving(target);
     target.drain_worker(0);
     target.stop_node(1, true);
-    target.run_for(world_bounds::grace_ + 2s);
+    target.run_for(world_bounds::grace + 2s);
     CHECK(target.node_runs(1));
     CHECK(!target.worker_runs(0));
     CHECK(serves(target));
