--- a/testing/platform_world/promise_book.cpp
+++ b/testing/platform_world/promise_book.cpp
@@ -58,6 +58,13 @@
     broken_.push_back(promise + ": " + detail);
 }
 
+void promise_book::report_late(const std::string& promise, const std::string& detail)
+{
+    if (check_times_) {
+        report(promise, detail);
+    }
+}
+
 void promise_book::on_arrival(const arrival& what)
 {
     auto* request = find(what.request_id_);
@@ -75,7 +82,7 @@
     }
     if (!what.held_up_ &&
         what.time_left_ > request->time_left_ - (now_() - request->sent_) + deadline_slack) {
-        report("deadlines shrink", what.request_id_);
+        report_late("deadlines shrink", what.request_id_);
     }
 }
 
--- a/testing/platform_world/promise_book.h
+++ b/testing/platform_world/promise_book.h
@@ -67,6 +67,10 @@
     /// Notes a broken promise that somebody else has found.
     void report(const std::string& promise, const std::string& detail);
 
+    /// The same for a promise with a time bound; these are left out where the machine's pace is unknown.
+    void report_late(const std::string& promise, const std::string& detail);
+    void leave_out_times() { check_times_ = false; }
+
     /// Checks what can only be told once everything has ended.
     void check_at_the_end();
 
@@ -81,6 +85,7 @@
     std::function<time_point()> now_;
     std::map<std::string, sent_request> requests_;
     std::vector<std::string> broken_;
+    bool check_times_ = true;
 };
 
 } // namespace anvilpost::testing
--- a/testing/platform_world/world.cpp
+++ b/testing/platform_world/world.cpp
@@ -174,7 +174,7 @@
     auto& node = nodes_.at(index(number));
     if (node_runs(number)) {
         if (now() - node.asked_to_stop_ > world_bounds::grace && calm() && node.calm_stop_) {
-            book_.report("a planned stop ends within the grace time", "node-" + std::to_string(number));
+            book_.report_late("a planned stop ends within the grace time", "node-" + std::to_string(number));
         }
         if (now() - node.asked_to_stop_ > world_bounds::grace) {
             node.process_->signal(SIGKILL);
@@ -332,7 +332,7 @@
     const auto& place = workers_.at(index(number));
     const bool leaving = place.server_ != nullptr && place.server_->draining();
     if (leaving && calm() && now() - place.leaving_since_ > world_bounds::drain + check_slack) {
-        book_.report("a leaving worker gets no new work", what.request_id_ + " at " + what.worker_);
+        book_.report_late("a leaving worker gets no new work", what.request_id_ + " at " + what.worker_);
     }
     check_route(what);
 }
@@ -354,7 +354,7 @@
                      what.request_id_ + " at " + what.service_);
     }
     else if (calm() && request->sent_ > moved->second.second + world_bounds::configuration + check_slack) {
-        book_.report("configuration is in force in time", what.request_id_ + " at " + what.service_);
+        book_.report_late("configuration is in force in time", what.request_id_ + " at " + what.service_);
     }
 }
 
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -17,6 +17,7 @@
 ABSL_FLAG(int, nodes, 5, "Nodes, 1 to 200.");
 ABSL_FLAG(int, workers, 4, "Workers of each of the two services, 1 to 100.");
 ABSL_FLAG(int, callers, 20, "Callers, each with one connection.");
+ABSL_FLAG(bool, check_times, true, "Check promises with a time bound too; CI leaves them out.");
 ABSL_FLAG(int, net, 1, "Addresses are 127.NET.x.y; choose another for a run beside this one.");
 ABSL_FLAG(std::string, node, ANVILPOST_NODE_PROGRAM, "The node's program.");
 ABSL_FLAG(std::string, folder, "soak-runs",
@@ -52,6 +53,9 @@
     settings.nodes_ = absl::GetFlag(FLAGS_nodes);
     settings.workers_per_service_ = absl::GetFlag(FLAGS_workers);
     world target(settings);
+    if (!absl::GetFlag(FLAGS_check_times)) {
+        target.book().leave_out_times();
+    }
     trouble_maker troubles(target);
     target.run_for(2s);
     target.start_callers(absl::GetFlag(FLAGS_callers), 100ms);
@@ -76,7 +80,7 @@
     const double served = target.served_part(calm_from);
     const double memory = target.peak_node_memory();
     if (served < served_when_calm) {
-        target.book().report("service recovers", "served " + std::to_string(served));
+        target.book().report_late("service recovers", "served " + std::to_string(served));
     }
     if (memory > memory_bound_mb) {
         target.book().report("memory stays in bounds", std::to_string(memory) + " MB");
