--- a/testing/platform_world/world.h
+++ b/testing/platform_world/world.h
@@ -127,6 +127,8 @@
         bool calm_stop_ = false;
         bool start_again_ = false;
         time_point asked_to_stop_{};
+        bool paused_ = false; ///< Ever; `last_pause_` is the last signal about it.
+        time_point last_pause_{};
     };
 
     static std::size_t index(int number) { return static_cast<std::size_t>(number); }
@@ -141,6 +143,7 @@
     void beat();
     void watch_own_pace();
     [[nodiscard]] bool stalled_lately() const;
+    [[nodiscard]] bool paused_lately(int number) const;
     node_choice choose_node();
     request_kind choose_kind();
 
