--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <exception>
 #include <filesystem>
+#include <unistd.h>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the first run.");
 ABSL_FLAG(int, runs, 1, "Runs, with one seed after the other.");
@@ -18,7 +19,7 @@
 ABSL_FLAG(int, workers, 4, "Workers of each of the two services, 1 to 100.");
 ABSL_FLAG(int, callers, 20, "Callers, each with one connection.");
 ABSL_FLAG(bool, check_times, true, "Check promises with a time bound too; CI leaves them out.");
-ABSL_FLAG(int, net, 1, "Addresses are 127.NET.x.y; choose another for a run beside this one.");
+ABSL_FLAG(int, net, 0, "Addresses are 127.NET.x.y; 0 takes a number from the process id.");
 ABSL_FLAG(std::string, node, ANVILPOST_NODE_PROGRAM, "The node's program.");
 ABSL_FLAG(std::string, folder, "soak-runs",
           "Settings and logs of the runs; those of clean runs are removed.");
@@ -43,13 +44,20 @@
 /// promises with a time bound are checked.
 constexpr duration phase = 8s;
 
+/// Runs side by side use different addresses; tests use those above.
+int net_of_this_process()
+{
+    constexpr int count = 90;
+    return 1 + getpid() % count;
+}
+
 bool run_seed(std::uint64_t seed, const std::string& folder)
 {
     world_settings settings;
     settings.daemon_ = absl::GetFlag(FLAGS_node);
     settings.folder_ = folder;
     settings.seed_ = seed;
-    settings.net_ = absl::GetFlag(FLAGS_net);
+    settings.net_ = absl::GetFlag(FLAGS_net) != 0 ? absl::GetFlag(FLAGS_net) : net_of_this_process();
     settings.nodes_ = absl::GetFlag(FLAGS_nodes);
     settings.workers_per_service_ = absl::GetFlag(FLAGS_workers);
     world target(settings);
@@ -113,7 +121,7 @@
     valid = within("callers", absl::GetFlag(FLAGS_callers), 1, 2000) && valid;
     valid = within("seconds", absl::GetFlag(FLAGS_seconds), 1, 3600) && valid;
     valid = within("runs", absl::GetFlag(FLAGS_runs), 1, 1000) && valid;
-    return within("net", absl::GetFlag(FLAGS_net), 1, 254) && valid;
+    return within("net", absl::GetFlag(FLAGS_net), 0, 254) && valid;
 }
 
 } // namespace
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <unistd.h>
 
 namespace anvilpost::testing {
 namespace {
@@ -13,9 +14,18 @@
 
 constexpr duration long_enough = 20s;
 
-world_settings settings_for(int net)
+/// Addresses differ between processes, so that test runs side by side do not meet.
+int own_net()
+{
+    constexpr int first = 100;
+    constexpr int count = 100;
+    return first + getpid() % count;
+}
+
+world_settings small_world()
 {
     const std::string build_dir = ANVILPOST_BUILD_DIR;
+    const int net = own_net();
     world_settings settings;
     settings.daemon_ = build_dir + "/platform/anvilpost_platformd";
     settings.folder_ = build_dir + "/platform-worlds/" + std::to_string(net);
@@ -51,14 +61,14 @@
 
 TEST_CASE("nodes serve from the platform's store and registry", "[platform node]")
 {
-    world target(settings_for(200));
+    world target(small_world());
     start_serving(target);
     require_promises_kept(target);
 }
 
 TEST_CASE("a moved route is in force on every node", "[platform node]")
 {
-    world target(settings_for(201));
+    world target(small_world());
     start_serving(target);
     target.move_route(0, "log");
     target.run_for(world_bounds::configuration);
@@ -78,7 +88,7 @@
 
 TEST_CASE("nodes serve on while the store is away and follow it afterwards", "[platform node]")
 {
-    world target(settings_for(202));
+    world target(small_world());
     start_serving(target);
     store_front_faults away;
     SECTION("refusing")
@@ -114,7 +124,7 @@
 
 TEST_CASE("nodes follow a store that has lost its history", "[platform node]")
 {
-    world target(settings_for(203));
+    world target(small_world());
     start_serving(target);
     target.store().compact();
     target.crash_worker(0);
@@ -128,7 +138,7 @@
 
 TEST_CASE("service is back after all nodes were killed", "[platform node]")
 {
-    world target(settings_for(204));
+    world target(small_world());
     start_serving(target);
     target.disturb(5s);
     for (int i = 0; i < target.node_count(); ++i) {
@@ -146,7 +156,7 @@
 
 TEST_CASE("a node without a configuration refuses with a promise and never says unknown", "[platform node]")
 {
-    auto settings = settings_for(205);
+    auto settings = small_world();
     settings.nodes_ = 1;
     settings.idle_nodes_ = {0};
     world target(settings);
@@ -169,7 +179,7 @@
 
 TEST_CASE("a worker that drains and a node that stops cost no request", "[platform node]")
 {
-    world target(settings_for(206));
+    world target(small_world());
     start_serving(target);
     target.drain_worker(0);
     target.stop_node(1, true);
@@ -186,7 +196,7 @@
 
 TEST_CASE("connections to workers that went silent do not stop the service", "[platform node]")
 {
-    world target(settings_for(207));
+    world target(small_world());
     start_serving(target);
     target.disturb(4s);
     for (int i = 0; i < target.worker_count(); ++i) {
