--- a/testing/platform_world/world.h
+++ b/testing/platform_world/world.h
@@ -131,6 +131,9 @@
         time_point last_pause_{};
     };
 
+    static constexpr duration pace_period = std::chrono::milliseconds(20);
+    static constexpr duration stop_check_period = std::chrono::milliseconds(50);
+
     static std::size_t index(int number) { return static_cast<std::size_t>(number); }
     [[nodiscard]] std::string address(int part, int number) const;
     [[nodiscard]] std::string data_centre_of(int node) const;
