--- a/testing/platform_world/worker.cpp
+++ b/testing/platform_world/worker.cpp
@@ -164,7 +164,6 @@
     }
     if (done->request_ != nullptr && happens(faults_.lose_answers_)) {
         book_.on_worker_broke_off(done->id_);
-        evhttp_connection_set_closecb(evhttp_request_get_connection(done->request_), nullptr, nullptr);
         drop(loop_, done->request_);
         done->request_ = nullptr;
     }
@@ -208,7 +207,7 @@
     evhttp_send_reply_chunk_with_cb(
         request, part,
         [](evhttp_connection* written, void* arg) {
-            static_cast<event_loop*>(arg)->defer([written] { evhttp_connection_free(written); });
+            drop_connection(*static_cast<event_loop*>(arg), written);
         },
         &loop_);
     evbuffer_free(part);
--- a/testing/stand_in_server.h
+++ b/testing/stand_in_server.h
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -55,11 +56,25 @@
     evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
+/// Closes a connection once the present callback is over, unless it has closed by then.
+inline void drop_connection(event_loop& loop, evhttp_connection* connection)
+{
+    auto open = std::make_shared<evhttp_connection*>(connection);
+    evhttp_connection_set_closecb(
+        connection, [](evhttp_connection*, void* arg) { *static_cast<evhttp_connection**>(arg) = nullptr; },
+        open.get());
+    loop.defer([open] {
+        if (*open != nullptr) {
+            evhttp_connection_set_closecb(*open, nullptr, nullptr);
+            evhttp_connection_free(*open);
+        }
+    });
+}
+
 /// Closes the connection without an answer.
 inline void drop(event_loop& loop, evhttp_request* request)
 {
-    evhttp_connection* connection = evhttp_request_get_connection(request);
-    loop.defer([connection] { evhttp_connection_free(connection); });
+    drop_connection(loop, evhttp_request_get_connection(request));
 }
 
 inline listener_limits generous_limits()
