Claim loopback ports and networks of tests so that no two processes share them

Change: a range of ports or a network is claimed by a socket that stays bound until the process ends; the operating system gives it to one process at a time and releases it when the process dies. Both kinds of test use it. Ruled out: lock files, which outlive a killed process.

--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -2,6 +2,7 @@
 // checker that verifies the platform's guarantees meanwhile. Exit code 0 without violations, 1 with
 // violations, 2 for wrong flags or a failure of the test itself.
 #include "soak/disruptions.h"
+#include "support/address_claim.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -10,7 +11,6 @@
 #include <cstdio>
 #include <exception>
 #include <filesystem>
-#include <unistd.h>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the first run.");
 ABSL_FLAG(int, runs, 1, "Number of runs, with consecutive seeds.");
@@ -19,7 +19,7 @@
 ABSL_FLAG(int, workers, 4, "Workers of each of the two services, 1 to 100.");
 ABSL_FLAG(int, callers, 20, "Number of callers, each with one connection.");
 ABSL_FLAG(bool, check_times, true, "Check guarantees with a time bound too; CI skips them.");
-ABSL_FLAG(int, net, 0, "Addresses are 127.NET.x.y; 0 derives a number from the process id.");
+ABSL_FLAG(int, net, 0, "Addresses are 127.NET.x.y; 0 takes a number that no other process uses.");
 ABSL_FLAG(std::string, node, ANVILPOST_NODE_PROGRAM, "Path of the node's executable.");
 ABSL_FLAG(std::string, folder, "soak-runs",
           "Receives settings and logs of the runs; those of runs without violations are removed.");
@@ -46,11 +46,14 @@
 /// a time bound are checked.
 constexpr duration phase_length = 8s;
 
-/// Concurrent soak runs use different addresses, by default 1 to 90; end-to-end tests use 100 to 199.
-int net_from_pid()
+/// The network of all runs of this process, unless the flag sets it.
+int loopback_network()
 {
-    constexpr int count = 90;
-    return 1 + getpid() % count;
+    constexpr int first = 1;
+    constexpr int last = 90; // End-to-end tests use 100 to 199.
+    static const int network =
+        absl::GetFlag(FLAGS_net) != 0 ? absl::GetFlag(FLAGS_net) : claim_loopback_network(first, last);
+    return network;
 }
 
 bool run_seed(std::uint64_t seed, const std::string& folder)
@@ -59,7 +62,7 @@
     settings.daemon_ = absl::GetFlag(FLAGS_node);
     settings.folder_ = folder;
     settings.seed_ = seed;
-    settings.net_ = absl::GetFlag(FLAGS_net) != 0 ? absl::GetFlag(FLAGS_net) : net_from_pid();
+    settings.net_ = loopback_network();
     settings.nodes_ = absl::GetFlag(FLAGS_nodes);
     settings.workers_per_service_ = absl::GetFlag(FLAGS_workers);
     test_deployment deployment(settings);
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -1,11 +1,11 @@
 // Runs real node processes in a simulated deployment of the users' platform. Time bounds are checked by the
 // soak test only; these tests wait for each behaviour with a generous timeout.
+#include "support/address_claim.h"
 #include "test_deployment/test_deployment.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <unistd.h>
 
 namespace anvilpost::testing {
 namespace {
@@ -14,19 +14,19 @@
 
 constexpr duration serve_timeout = 20s;
 
-/// The second byte of the deployment's 127.net.x.y addresses: 100 to 199 depending on the process id, so that
-/// test processes that run in parallel rarely share addresses. Soak runs use lower numbers.
-int net_from_pid()
+/// The second byte of the deployments' 127.net.x.y addresses; the deployments of a process follow each other.
+int loopback_network()
 {
-    constexpr int first = 100;
-    constexpr int count = 100;
-    return first + getpid() % count;
+    constexpr int first = 100; // Soak runs use lower numbers.
+    constexpr int last = 199;
+    static const int network = claim_loopback_network(first, last);
+    return network;
 }
 
 deployment_settings small_deployment_settings()
 {
     const std::string build_dir = ANVILPOST_BUILD_DIR;
-    const int net = net_from_pid();
+    const int net = loopback_network();
     deployment_settings settings;
     settings.daemon_ = build_dir + "/platform/anvilpost_platformd";
     settings.folder_ = build_dir + "/platform-worlds/" + std::to_string(net);
--- a/tests/end_to_end/processes.cpp
+++ b/tests/end_to_end/processes.cpp
@@ -1,6 +1,8 @@
 // Process control and a blocking HTTP client on plain sockets, independent of the code under test.
 #include "end_to_end/processes.h"
 
+#include "support/address_claim.h"
+
 #include <arpa/inet.h>
 #include <poll.h>
 #include <stdexcept>
@@ -12,8 +14,6 @@
 
 constexpr int response_timeout_ms = 20'000;
 constexpr int raw_timeout_ms = 3'000;
-constexpr std::uint16_t first_base_port = 20'000;
-constexpr std::uint16_t ports_per_fleet = 100;
 
 const std::string build_dir = ANVILPOST_BUILD_DIR;
 
@@ -82,17 +82,6 @@
     }
 }
 
-/// Returns the first port of a new range. The ranges of a process follow each other; where they start depends
-/// on the process id, so that test processes that run in parallel rarely use the same ports.
-std::uint16_t next_base_port()
-{
-    static std::uint16_t next =
-        first_base_port + static_cast<std::uint16_t>((getpid() % 100) * ports_per_fleet);
-    const auto taken = next;
-    next += ports_per_fleet;
-    return taken;
-}
-
 } // namespace
 
 program_process::program_process(const std::string& program, std::vector<std::string> arguments)
@@ -157,7 +146,7 @@
 
 fleet::fleet(int nodes, int upstreams, const std::vector<std::string>& upstream_flags,
              const std::vector<std::string>& node_flags)
-    : base_(next_base_port()), upstream_flags_(upstream_flags), node_flags_(node_flags)
+    : base_(claim_port_range()), upstream_flags_(upstream_flags), node_flags_(node_flags)
 {
     platform_ = std::make_unique<program_process>(
         "testing/platform_stand_in", std::vector<std::string>{"--ports=" + std::to_string(platform_port(0)) +
