Mesh: try only seeds that are not live, and leave the receiver out of a heartbeat

A node tried one of its seeds at random, also itself or one that it knew; a heartbeat named random members, also its receiver. Change: the seed is chosen among those that are neither this node nor live; the receiver is not in its own digest. Measured: the new test plays groups of 2, 3 and 4 nodes with 5,000 seeds each in virtual time.

--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -116,10 +116,12 @@
     });
 }
 
-std::vector<member> membership::digest(std::size_t others, random_port& random) const
+std::vector<member> membership::digest(std::size_t others, const std::string& receiver,
+                                       random_port& random) const
 {
     std::vector<member> entries{self_};
     auto all = known();
+    std::erase_if(all, [&](const member& other) { return other.name_ == receiver; });
     while (others-- > 0 && !all.empty()) {
         const auto index = random_below(random, all.size());
         entries.push_back(std::move(all[index]));
--- a/src/core/fleet/membership.h
+++ b/src/core/fleet/membership.h
@@ -75,8 +75,10 @@
     /// Returns true when this node ranks first for `subject` among the live nodes.
     [[nodiscard]] bool responsible_for(const std::string& subject, time_point now) const;
 
-    /// Returns the entries for a heartbeat: this node's own first, then up to `others` random members.
-    [[nodiscard]] std::vector<member> digest(std::size_t others, random_port& random) const;
+    /// Returns the entries for a heartbeat to `receiver`: this node's own first, then up to `others` random
+    /// members. The receiver is not among them, since a heartbeat tells it nothing about itself.
+    [[nodiscard]] std::vector<member> digest(std::size_t others, const std::string& receiver,
+                                             random_port& random) const;
 
 private:
     struct entry {
--- a/src/core/fleet/mesh_agent.cpp
+++ b/src/core/fleet/mesh_agent.cpp
@@ -228,9 +228,10 @@
 
 void mesh_agent::send_heartbeat(link_id link)
 {
-    const bool same_data_centre = links_.at(link).same_data_centre_;
-    const auto others = same_data_centre ? other_members_in_data_centre : other_members_between_data_centres;
-    send(link, heartbeat_message{members_.digest(others, random_)});
+    const auto& state = links_.at(link);
+    const auto others =
+        state.same_data_centre_ ? other_members_in_data_centre : other_members_between_data_centres;
+    send(link, heartbeat_message{members_.digest(others, state.peer_, random_)});
 }
 
 bool mesh_agent::remember_if_new(const std::string& notice_id)
@@ -376,12 +377,16 @@
     if (!due || seeds_.empty()) {
         return;
     }
-    const auto& seed = seeds_[random_below(random_, seeds_.size())];
-    const auto live = members_.live(clock_.now());
-    const bool seed_is_live = std::any_of(live.begin(), live.end(), [&](const member& other) {
-        return other.mesh_ip_ == seed.ip_ && other.mesh_port_ == seed.port_;
+    auto known = members_.live(clock_.now());
+    known.push_back(members_.self());
+    auto candidates = seeds_;
+    std::erase_if(candidates, [&](const mesh_seed& seed) {
+        return std::any_of(known.begin(), known.end(), [&](const member& other) {
+            return other.mesh_ip_ == seed.ip_ && other.mesh_port_ == seed.port_;
+        });
     });
-    if (!seed_is_live) {
+    if (!candidates.empty()) {
+        const auto& seed = candidates[random_below(random_, candidates.size())];
         connect_to(seed.ip_, seed.port_);
     }
 }
--- a/tests/core/mesh_agent_test.cpp
+++ b/tests/core/mesh_agent_test.cpp
@@ -26,6 +26,9 @@
 
 class fake_network {
 public:
+    /// The nodes' random numbers differ between seeds.
+    explicit fake_network(std::uint64_t seed = 0) : seed_(seed) {}
+
     /// Adds a node; `number` is also its mesh port. Seeds are given by number.
     mesh_agent& add(std::uint16_t number, const std::string& data_centre, std::vector<std::uint16_t> seeds,
                     const std::string& secret = "secret")
@@ -76,7 +79,10 @@
     }
 
     struct node {
-        node(fake_network& network, std::uint16_t number) : port_(network, number), random_(number) {}
+        node(fake_network& network, std::uint16_t number)
+            : port_(network, number), random_(network.seed_ * 1000 + number)
+        {
+        }
         fake_port port_;
         split_mix random_;
         std::unique_ptr<mesh_agent> agent_;
@@ -92,6 +98,7 @@
 
     void enqueue(std::function<void()> event) { events_.push_back(std::move(event)); }
 
+    std::uint64_t seed_;
     manual_clock clock_;
     std::map<std::uint16_t, std::unique_ptr<node>> nodes_;
     std::map<link_id, end> other_end_;    ///< The other end of each link; holds both directions.
@@ -180,6 +187,24 @@
     REQUIRE(network.nodes_[2]->agent_->members().live(network.clock_.now()).size() == 3);
 }
 
+// Two nodes that are linked only through the third learn of each other from its heartbeats or by trying a
+// seed that they do not know; both must not be left to chance.
+TEST_CASE("the nodes of a small fleet know each other within 10 s with any random numbers")
+{
+    const std::uint16_t nodes = GENERATE(2, 3, 4);
+    for (std::uint64_t seed = 1; seed <= 5000; ++seed) {
+        fake_network network(seed);
+        for (std::uint16_t i = 0; i < nodes; ++i) {
+            network.add(i, "dc-" + std::to_string(i % 3), {0, 1});
+        }
+        network.run(10s);
+        for (auto& [number, node] : network.nodes_) {
+            INFO(nodes << " nodes, seed " << seed << ", node " << number);
+            REQUIRE(node->agent_->members().live(network.clock_.now()).size() + 1 == nodes);
+        }
+    }
+}
+
 TEST_CASE("a node has few links to other data centres")
 {
     fake_network network;
