Mesh: forget the oldest notice first when too many are remembered

Cause: at 10,000 notices the alphabetically first was dropped, so a new notice with such a name was forwarded again by every node that met it, each time it arrived. Change: recent_keys, a bounded set that forgets in the order of insertion; mesh_agent keeps its notices there. Measured: the new test failed before (a repeated notice reached the peer a second time) and passes now.

--- a/src/core/fleet/mesh_agent.cpp
+++ b/src/core/fleet/mesh_agent.cpp
@@ -29,7 +29,7 @@
 mesh_agent::mesh_agent(const clock_port& clock, random_port& random, mesh_port& port, member self,
                        mesh_handlers handlers)
     : clock_(clock), random_(random), port_(port), handlers_(std::move(handlers)),
-      members_(std::move(self), {})
+      members_(std::move(self), {}), seen_notices_(max_notices)
 {
 }
 
@@ -188,16 +188,16 @@
     else if (const auto* leaving = std::get_if<leaving_message>(&message)) {
         const auto notice_id =
             "leaving " + leaving->service_ + "/" + leaving->upstream_ + "/" + leaving->incarnation_;
-        if (remember_if_new(notice_id)) {
+        if (seen_notices_.insert(notice_id, clock_.now())) {
             handlers_.on_leaving_(*leaving);
-            broadcast_notice(message, notice_id, link);
+            broadcast_notice(message, link);
         }
     }
     else if (const auto* strike = std::get_if<strike_message>(&message)) {
         const auto notice_id = "strike " + std::to_string(strike->fingerprint_) + "/" + strike->upstream_;
-        if (remember_if_new(notice_id)) {
+        if (seen_notices_.insert(notice_id, clock_.now())) {
             handlers_.on_strike_(*strike);
-            broadcast_notice(message, notice_id, link);
+            broadcast_notice(message, link);
         }
     }
     else if (const auto* probe_result = std::get_if<probe_result_message>(&message)) {
@@ -234,19 +234,8 @@
     send(link, heartbeat_message{members_.digest(others, state.peer_, random_)});
 }
 
-bool mesh_agent::remember_if_new(const std::string& notice_id)
+void mesh_agent::broadcast_notice(const mesh_message& message, std::optional<link_id> except)
 {
-    if (seen_notices_.size() >= max_notices) {
-        seen_notices_.erase(seen_notices_.begin());
-    }
-    const bool first = seen_notices_.emplace(notice_id, clock_.now()).second;
-    return first;
-}
-
-void mesh_agent::broadcast_notice(const mesh_message& message, const std::string& notice_id,
-                                  std::optional<link_id> except)
-{
-    seen_notices_[notice_id] = clock_.now();
     for (const auto& [link, state] : links_) {
         if (state.stage_ == link_stage::authenticated && link != except) {
             send(link, message);
@@ -274,16 +263,16 @@
 void mesh_agent::broadcast_leaving(const leaving_message& notice)
 {
     const auto notice_id = "leaving " + notice.service_ + "/" + notice.upstream_ + "/" + notice.incarnation_;
-    if (remember_if_new(notice_id)) {
-        broadcast_notice(notice, notice_id, std::nullopt);
+    if (seen_notices_.insert(notice_id, clock_.now())) {
+        broadcast_notice(notice, std::nullopt);
     }
 }
 
 void mesh_agent::broadcast_strike(const strike_message& strike)
 {
     const auto notice_id = "strike " + std::to_string(strike.fingerprint_) + "/" + strike.upstream_;
-    if (remember_if_new(notice_id)) {
-        broadcast_notice(strike, notice_id, std::nullopt);
+    if (seen_notices_.insert(notice_id, clock_.now())) {
+        broadcast_notice(strike, std::nullopt);
     }
 }
 
@@ -301,7 +290,7 @@
     ++ticks_;
     const auto now = clock_.now();
     members_.remove_expired(now);
-    std::erase_if(seen_notices_, [&](const auto& notice) { return now - notice.second > notice_retention; });
+    seen_notices_.remove_until(now - notice_retention);
     close_timed_out_links();
     send_due_heartbeats();
     connect_wanted();
--- a/src/core/fleet/mesh_agent.h
+++ b/src/core/fleet/mesh_agent.h
@@ -8,6 +8,7 @@
 #include "ports/clock_port.h"
 #include "ports/mesh_port.h"
 #include "ports/random_port.h"
+#include "vocabulary/recent_keys.h"
 
 #include <functional>
 #include <map>
@@ -101,9 +102,7 @@
     void refuse(link_id link, const std::string& reason);
     void send(link_id link, const mesh_message& message);
     void send_heartbeat(link_id link);
-    void broadcast_notice(const mesh_message& message, const std::string& notice_id,
-                          std::optional<link_id> except);
-    bool remember_if_new(const std::string& notice_id);
+    void broadcast_notice(const mesh_message& message, std::optional<link_id> except);
     void send_due_heartbeats();
     void close_timed_out_links();
     void connect_wanted();
@@ -118,9 +117,9 @@
     membership members_;
     std::vector<mesh_seed> seeds_;
     std::map<link_id, link_state> links_;
-    std::map<std::string, time_point> seen_notices_; ///< Identifier of each notice seen, with the time.
-    time_point last_request_{};                      ///< Time of the last configuration request.
-    std::uint64_t requested_revision_ = 0;           ///< Revision that it asked for.
+    recent_keys seen_notices_;             ///< Identifiers of the notices seen.
+    time_point last_request_{};            ///< Time of the last configuration request.
+    std::uint64_t requested_revision_ = 0; ///< Revision that it asked for.
     mesh_counters counters_;
     std::uint64_t ticks_ = 0;
 };
--- a/tests/core/mesh_agent_test.cpp
+++ b/tests/core/mesh_agent_test.cpp
@@ -258,6 +258,27 @@
     }
 }
 
+TEST_CASE("a node that remembers as many notices as it can forgets the oldest first")
+{
+    fake_network network;
+    network.add(1, "atlanta", {2});
+    network.add(2, "atlanta", {1});
+    network.run(5s);
+    auto& sender = *network.nodes_[1]->agent_;
+    const auto notify = [&](const std::string& upstream) {
+        sender.broadcast_leaving({"desk", upstream, ""});
+        network.deliver();
+    };
+    constexpr int many = 10'000;
+    for (int i = 0; i < many; ++i) {
+        notify("z" + std::to_string(i));
+    }
+    notify("a");
+    notify("b");
+    notify("a");
+    REQUIRE(network.nodes_[2]->leaving_received_ == many + 2);
+}
+
 TEST_CASE("a node with a wrong secret gets no link and no members")
 {
     fake_network network;
