Mesh: compare proofs in constant time

Cause: a proof was compared with !=, which ends at the first difference, so its duration tells a stranger how much of a guess was right. Change: the agent asks the adapter to verify a proof, which compares with OpenSSL's CRYPTO_memcmp. Ruled out: a test of the duration; under load it would measure the machine.

--- a/src/adapters/mesh/mesh_transport.cpp
+++ b/src/adapters/mesh/mesh_transport.cpp
@@ -54,6 +54,13 @@
     return text;
 }
 
+bool verify_hmac_sha256_hex(const std::string& secret, const std::string& nonce, const std::string& proof)
+{
+    const auto expected = hmac_sha256_hex(secret, nonce);
+    return proof.size() == expected.size() &&
+           CRYPTO_memcmp(proof.data(), expected.data(), expected.size()) == 0;
+}
+
 mesh_transport::~mesh_transport()
 {
     if (listener_ != nullptr) {
--- a/src/adapters/mesh/mesh_transport.h
+++ b/src/adapters/mesh/mesh_transport.h
@@ -18,6 +18,10 @@
 /// Returns the keyed hash (HMAC-SHA256, hexadecimal) by which a node proves that it knows the secret.
 std::string hmac_sha256_hex(const std::string& secret, const std::string& nonce);
 
+/// Returns whether `proof` is the result of `hmac_sha256_hex`, in a time that does not depend on where they
+/// differ.
+bool verify_hmac_sha256_hex(const std::string& secret, const std::string& nonce, const std::string& proof);
+
 /// Reports connections and messages to a mesh_agent, always outside of the calls that caused them.
 /// Invariant: each link in `links_` has one bufferevent, and one session as soon as it is connected.
 class mesh_transport : public mesh_port {
--- a/src/core/fleet/mesh_agent.cpp
+++ b/src/core/fleet/mesh_agent.cpp
@@ -116,7 +116,7 @@
         return;
     }
     if (const auto* hello = std::get_if<hello_message>(&message); hello != nullptr && state.accepted_) {
-        if (hello->proof_ != handlers_.prove_("hello " + state.nonce_)) {
+        if (!handlers_.verify_("hello " + state.nonce_, hello->proof_)) {
             refuse(link, "the peer does not know the secret");
             return;
         }
@@ -126,7 +126,7 @@
     }
     if (const auto* welcome = std::get_if<welcome_message>(&message);
         welcome != nullptr && !state.accepted_) {
-        if (state.nonce_.empty() || welcome->proof_ != handlers_.prove_("welcome " + state.nonce_)) {
+        if (state.nonce_.empty() || !handlers_.verify_("welcome " + state.nonce_, welcome->proof_)) {
             refuse(link, "the peer does not know the secret");
             return;
         }
--- a/src/core/fleet/mesh_agent.h
+++ b/src/core/fleet/mesh_agent.h
@@ -26,6 +26,9 @@
     std::function<void(const strike_message&)> on_strike_;
     std::function<void(const probe_result_message&)> on_probe_result_;
     std::function<std::string(const std::string& nonce)> prove_; ///< Returns the keyed hash of a nonce.
+    /// Returns whether `proof` is the keyed hash of a nonce. The time that it takes must not depend on where
+    /// the two differ.
+    std::function<bool(const std::string& nonce, const std::string& proof)> verify_;
     std::function<void(const std::string& reason)> on_refused_link_;
 };
 
--- a/src/daemon/fleet_member.cpp
+++ b/src/daemon/fleet_member.cpp
@@ -82,6 +82,9 @@
     handlers.prove_ = [this](const std::string& nonce) {
         return hmac_sha256_hex(settings_.mesh_secret_, nonce);
     };
+    handlers.verify_ = [this](const std::string& nonce, const std::string& proof) {
+        return verify_hmac_sha256_hex(settings_.mesh_secret_, nonce, proof);
+    };
     handlers.on_refused_link_ = [](const std::string& reason) {
         write_log(log_level::warning, "mesh connection refused", {{"reason", reason}});
     };
--- a/tests/core/mesh_agent_test.cpp
+++ b/tests/core/mesh_agent_test.cpp
@@ -44,6 +44,9 @@
         handlers.on_strike_ = [self](const strike_message&) { ++self->strikes_received_; };
         handlers.on_probe_result_ = [](const probe_result_message&) {};
         handlers.prove_ = [secret](const std::string& nonce) { return secret + nonce; };
+        handlers.verify_ = [secret](const std::string& nonce, const std::string& proof) {
+            return proof == secret + nonce;
+        };
         handlers.on_refused_link_ = [](const std::string&) {};
         const member self_member{
             "n" + std::to_string(number), 1, data_centre, "10.0.0.1", number, "", 0, 0, 0, false};
