Gossip: count a doubled datagram once, and ignore calls in flight of a late one

Cause: each datagram was applied when it arrived. One that the network doubled added its served and failed calls twice, and one that was overtaken put back the calls in flight of before. A duplicate is dropped and counted (peer_messages_duplicate_total); a late message still adds its ended calls, once, but not its calls in flight.

--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -223,7 +223,7 @@
 {
     for (const auto& [name, last] : last_messages_) {
         if (peers_.reachable(name, now)) {
-            message.echoes_.push_back({last.identity_, last.sequence_, now - last.received_});
+            message.echoes_.push_back({last.identity_, last.sequences_.highest(), now - last.received_});
         }
     }
 }
@@ -329,7 +329,7 @@
         add_strikes(message, recipients::leaders, now);
         if (const auto last = last_messages_.find(leader->name_); last != last_messages_.end()) {
             message.echoes_.push_back(
-                {last->second.identity_, last->second.sequence_, now - last->second.received_});
+                {last->second.identity_, last->second.sequences_.highest(), now - last->second.received_});
         }
         for (const auto& known : peers_.sample(peers_per_message, ports_.random_, now)) {
             message.peers_.push_back({*known.peer_, known.age_});
@@ -376,18 +376,25 @@
         return;
     }
     ++counters_.messages_received_;
+    auto& last = last_messages_[sender.name_];
+    const auto identity = identity_of(sender);
+    if (last.identity_ != identity) {
+        last = {identity, {}, {}, std::move(last.busy_upstreams_)};
+    }
+    const auto arrival = last.sequences_.add(message->sequence_);
+    if (arrival == sequence_arrival::duplicate) {
+        ++counters_.duplicates_;
+        return;
+    }
+    const bool is_newest = arrival == sequence_arrival::newest;
+    if (is_newest) {
+        last.received_ = now;
+    }
     const bool was_known = peers_.find(sender.name_) != nullptr;
     peers_.record_heartbeat(sender, now);
     for (const auto& known : message->peers_) {
         peers_.record_heartbeat(known.peer_, now - known.age_);
     }
-    auto& last = last_messages_[sender.name_];
-    const auto identity = identity_of(sender);
-    if (last.identity_ != identity || message->sequence_ > last.sequence_) {
-        last.identity_ = identity;
-        last.sequence_ = message->sequence_;
-        last.received_ = now;
-    }
     if (message->reply_requested_ || !was_known) {
         auto reply = make_message(now);
         for (const auto& known : peers_.sample(peers_per_reply, ports_.random_, now)) {
@@ -400,7 +407,7 @@
     handle_strikes(*message, now);
     handle_loads(*message, now);
     if (message->has_call_counts_) {
-        handle_call_counts(*message, last);
+        handle_call_counts(*message, last, is_newest);
     }
     loads_changed_ = loads_changed_ || !message->loads_.empty() || message->has_call_counts_;
     if (loads_changed_ && peers_.size() <= few_local_peers * 3) {
@@ -473,7 +480,9 @@
     }
 }
 
-void peer_exchange::handle_call_counts(const peer_message& message, last_message& last)
+/// The ended calls of a message are counted whenever it arrives. Its calls in flight hold only until a newer
+/// message tells them, so those of a late message are ignored.
+void peer_exchange::handle_call_counts(const peer_message& message, last_message& last, bool is_newest)
 {
     const auto identity = identity_of(message.sender_);
     // In a large fleet, the upstreams' own load reports are more recent than the peers' call counts.
@@ -484,7 +493,7 @@
         if (upstream == nullptr) {
             continue;
         }
-        if (few) {
+        if (few && is_newest) {
             ports_.engine_.on_peer_load(upstream->service_, upstream->name_, identity, counts.in_flight_);
         }
         ports_.engine_.on_peer_outcomes(upstream->service_, upstream->name_, counts.served_, counts.failed_);
@@ -492,6 +501,9 @@
             busy_upstreams.insert(counts.upstream_);
         }
     }
+    if (!is_newest) {
+        return;
+    }
     for (const auto key : last.busy_upstreams_) {
         const auto* upstream = find_upstream(key);
         if (upstream != nullptr && !busy_upstreams.contains(key)) {
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -7,6 +7,7 @@
 #include "core/calls/call_engine.h"
 #include "core/fleet/duty_assignment.h"
 #include "core/fleet/peer_messages.h"
+#include "core/fleet/received_sequences.h"
 #include "core/fleet/view_follower.h"
 #include "ports/datagram_port.h"
 
@@ -34,6 +35,7 @@
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t messages_received_ = 0;
     std::uint64_t unreadable_ = 0;   ///< Datagrams that were no message of this version.
+    std::uint64_t duplicates_ = 0;   ///< Messages that had arrived before.
     std::uint64_t view_fetches_ = 0; ///< Requests to a peer for a later view.
 };
 
@@ -107,11 +109,11 @@
         time_point recorded_at_{}; ///< When this node stored it; the epoch marks a load not to be sent on.
     };
 
-    /// State kept of the latest message of each peer.
+    /// State kept of the messages of each peer.
     struct last_message {
         std::uint64_t identity_ = 0;
-        std::uint64_t sequence_ = 0;
-        time_point received_{};
+        received_sequences sequences_;           ///< Of the peer's messages, for this identity.
+        time_point received_{};                  ///< When the message with the highest number arrived.
         std::set<std::uint32_t> busy_upstreams_; ///< Upstreams at which the peer had calls in flight.
     };
 
@@ -148,7 +150,7 @@
     void send(const std::string& ip, std::uint16_t port, const std::string& bytes);
     void handle_view_status(const peer_message& message, time_point now);
     void handle_loads(const peer_message& message, time_point now);
-    void handle_call_counts(const peer_message& message, last_message& last);
+    void handle_call_counts(const peer_message& message, last_message& last, bool is_newest);
     void update_load(std::uint32_t key, upstream_load load, time_point measured_at);
     [[nodiscard]] const known_upstream* find_upstream(std::uint32_t key) const;
     [[nodiscard]] duration status_period(std::size_t local_peer_count) const;
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -326,6 +326,7 @@
     add_metric(text, "peer_bytes_sent_total", "counter", exchange.bytes_sent_);
     add_metric(text, "peer_messages_received_total", "counter", exchange.messages_received_);
     add_metric(text, "peer_messages_unreadable_total", "counter", exchange.unreadable_);
+    add_metric(text, "peer_messages_duplicate_total", "counter", exchange.duplicates_);
     add_metric(text, "peer_datagrams_dropped_total", "counter", datagrams_.counters().dropped_);
     add_metric(text, "view_fetches_total", "counter", exchange.view_fetches_);
     add_metric(text, "probes_sent_total", "counter", prober_.sent());
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -187,6 +187,34 @@
     }
 }
 
+TEST_CASE("a datagram that arrives twice counts once, and a late one does not replace newer calls in flight")
+{
+    network net;
+    auto& receiver = net.add("n0", "north");
+    const auto deliver = [&](std::uint64_t sequence, int in_flight, int failed) {
+        peer_message message;
+        message.sender_ = {"n1", 1, "north", "10.0.0.2", 1, 2, 200, false};
+        message.sequence_ = sequence;
+        message.has_call_counts_ = true;
+        message.call_counts_ = {{upstream_key("log", "u1"), in_flight, 0, failed}};
+        receiver.exchange_.on_datagram(encode(message));
+    };
+    const auto& upstream = *receiver.engine_.services().at("log").upstreams().at("u1");
+    const auto failure_rate = [&] { return upstream.failure_rate(net.clock_.now()); };
+    deliver(1, 2, 1);
+    const auto after_first = failure_rate();
+    REQUIRE(after_first > 0);
+    deliver(1, 2, 1);
+    CHECK(failure_rate() == after_first);
+    deliver(3, 0, 0);
+    deliver(2, 5, 1);
+    CHECK(upstream.occupancy(net.clock_.now()) == 0);
+    const auto after_late = failure_rate();
+    CHECK(after_late > after_first);
+    deliver(2, 5, 1);
+    CHECK(failure_rate() == after_late);
+}
+
 TEST_CASE("a message survives encoding and decoding, and truncated bytes are rejected")
 {
     peer_message sent;
