Gossip: reject ages and kinds out of range, and bound the loads that are sent

Cause: a peer's negative age dated data into the future, an item of an unknown kind was kept in the view of the store, and a reported load was cast to an integer without a bound (1e300 calls became 0, the most attractive upstream). Change: a message with an age below 0 or above a year, or with an unknown kind of item, is rejected whole; a load that its field cannot hold, or that is no number, becomes the largest value. Ruled out: loads received from peers; their fields have 16 bits and a datagram bounds their number. Measured: the three new tests failed before and pass now.

--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -3,6 +3,8 @@
 #include "core/fleet/peer_exchange.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 
 namespace anvilpost {
 namespace {
@@ -62,6 +64,14 @@
 /// Period at which silent peers and old strikes are removed and duties are recomputed.
 constexpr duration maintenance_period = 100ms;
 
+/// Converts a figure that an upstream reported to the range of its field in messages. A figure that is no
+/// number becomes the largest value, so that an upstream with a broken report does not look idle.
+int to_message_field(double reported)
+{
+    constexpr double largest = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<int>(reported < largest ? std::max(0.0, reported) : largest);
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(const exchange_ports& ports, peer self)
@@ -107,10 +117,10 @@
                                 const load_report& report, bool healthy, bool probed)
 {
     upstream_load load;
-    load.in_flight_ = static_cast<int>(report.in_flight_);
+    load.in_flight_ = to_message_field(report.in_flight_);
     load.slots_ = report.slots_.value_or(0);
     load.slowdown_known_ = report.slowdown_.has_value();
-    load.slowdown_percent_ = static_cast<int>(report.slowdown_.value_or(1.0) * 100.0);
+    load.slowdown_percent_ = to_message_field(report.slowdown_.value_or(1.0) * 100.0);
     load.healthy_ = healthy;
     load.probed_ = probed;
     update_load(upstream_key(service, upstream), load, ports_.clock_.now());
--- a/src/core/fleet/peer_messages.cpp
+++ b/src/core/fleet/peer_messages.cpp
@@ -3,6 +3,7 @@
 // arrays. Counts and times are cut off at the largest value of their field.
 #include "core/fleet/peer_messages.h"
 
+#include "core/fleet/message_age.h"
 #include "core/fleet/packed_records.h"
 #include "vocabulary/stable_hash.h"
 
@@ -25,11 +26,6 @@
     return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
 }
 
-duration from_milliseconds(const json& value)
-{
-    return std::chrono::milliseconds(value.get<std::int64_t>());
-}
-
 json encode_peer(const peer& node)
 {
     return json::array({node.name_, node.incarnation_, node.data_centre_, node.ip_, node.port_,
@@ -142,11 +138,11 @@
     message.reply_requested_ = document.value("ask", false);
     message.view_revision_ = document.value("rev", std::uint64_t{0});
     if (document.contains("age")) {
-        message.view_age_ = from_milliseconds(document.at("age"));
+        message.view_age_ = decode_age(document.at("age"));
     }
     message.echoes_ = unpack_echoes(bytes_of(document, "echo"));
     for (const auto& value : document.value("peers", json::array())) {
-        message.peers_.push_back({decode_peer(value.at(0)), from_milliseconds(value.at(1))});
+        message.peers_.push_back({decode_peer(value.at(0)), decode_age(value.at(1))});
     }
     message.loads_ = unpack_loads(bytes_of(document, "loads"));
     message.has_call_counts_ = document.contains("mine");
--- a/src/core/fleet/view_messages.cpp
+++ b/src/core/fleet/view_messages.cpp
@@ -2,12 +2,30 @@
 // appears fresher than it is.
 #include "core/fleet/view_messages.h"
 
+#include "core/fleet/message_age.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvilpost {
 
 using json = nlohmann::json;
 
+namespace {
+
+/// Throws std::out_of_range for a number that stands for no kind.
+item_kind decode_kind(const json& value)
+{
+    const auto kind = static_cast<item_kind>(value.get<int>());
+    switch (kind) {
+    case item_kind::configuration:
+    case item_kind::upstream:
+    case item_kind::node: return kind;
+    }
+    throw std::out_of_range("a view message has an item of an unknown kind");
+}
+
+} // namespace
+
 std::string encode(const view_message& message)
 {
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(message.age_).count();
@@ -27,19 +45,21 @@
     try {
         view_message message;
         message.revision_ = document.at("rev").get<std::uint64_t>();
-        message.age_ = std::chrono::milliseconds(document.at("age").get<std::int64_t>());
+        message.age_ = decode_age(document.at("age"));
         message.is_snapshot_ = document.at("whole").get<bool>();
         for (const auto& item : document.at("items")) {
-            message.items_.push_back({static_cast<item_kind>(item.at(0).get<std::uint8_t>()),
-                                      item.at(1).get<std::string>(), item.at(2).get<std::string>(),
-                                      item.at(3).get<std::uint64_t>(), item.at(4).get<bool>(),
-                                      item.at(5).get<bool>()});
+            message.items_.push_back({decode_kind(item.at(0)), item.at(1).get<std::string>(),
+                                      item.at(2).get<std::string>(), item.at(3).get<std::uint64_t>(),
+                                      item.at(4).get<bool>(), item.at(5).get<bool>()});
         }
         return message;
     }
     catch (const json::exception&) {
         return std::nullopt;
     }
+    catch (const std::out_of_range&) {
+        return std::nullopt;
+    }
 }
 
 } // namespace anvilpost
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -3,6 +3,8 @@
 #include "core/exchange_network.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
+#include <nlohmann/json.hpp>
 
 using namespace anvilpost;
 using namespace anvilpost::testing;
@@ -215,6 +217,42 @@
     CHECK(failure_rate() == after_late);
 }
 
+TEST_CASE("a measured load that no field can hold is sent as the largest value")
+{
+    network net;
+    auto& reporter = net.add("n0", "north");
+    auto& local_peer = net.add("n1", "north");
+    net.run(1s);
+    reporter.exchange_.record_load("log", "u1", {1e300, 6, 1e300}, true, true);
+    net.run(200ms);
+    const auto& tracker = *local_peer.engine_.services().at("log").upstreams().at("u1");
+    REQUIRE(tracker.report_time().has_value());
+    CHECK(tracker.occupancy(*tracker.report_time()) == 65'535);
+}
+
+TEST_CASE("messages with negative ages are rejected")
+{
+    peer_message sent;
+    sent.sender_ = {"n0", 3, "north", "10.0.0.1", 7, 8, 200, false};
+    sent.view_age_ = 20ms;
+    sent.peers_ = {{{"n1", 1, "north", "10.0.0.2", 7, 8, 200, false}, 5ms}};
+    const auto document = nlohmann::json::from_cbor(encode(sent));
+    const auto accepted = [](const nlohmann::json& changed) {
+        const auto bytes = nlohmann::json::to_cbor(changed);
+        return decode_peer_message({bytes.begin(), bytes.end()}).has_value();
+    };
+    REQUIRE(accepted(document));
+    auto negative_view_age = document;
+    negative_view_age["age"] = -5;
+    CHECK_FALSE(accepted(negative_view_age));
+    auto negative_peer_age = document;
+    negative_peer_age["peers"][0][1] = -5;
+    CHECK_FALSE(accepted(negative_peer_age));
+    auto endless_age = document;
+    endless_age["age"] = std::numeric_limits<std::int64_t>::max();
+    CHECK_FALSE(accepted(endless_age));
+}
+
 TEST_CASE("a message survives encoding and decoding, and truncated bytes are rejected")
 {
     peer_message sent;
--- a/tests/core/store_view_test.cpp
+++ b/tests/core/store_view_test.cpp
@@ -3,6 +3,7 @@
 #include "core/fleet/view_messages.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace anvilpost;
 using namespace std::chrono_literals;
@@ -17,6 +18,24 @@
 
 } // namespace
 
+TEST_CASE("a view message with a negative age or an unknown kind of item is rejected")
+{
+    const auto bytes =
+        encode(view_message{7, 20ms, true, {{item_kind::upstream, "u1", "x", 7, false, false}}});
+    const auto document = nlohmann::json::from_cbor(bytes);
+    const auto accepted = [](const nlohmann::json& changed) {
+        const auto encoded = nlohmann::json::to_cbor(changed);
+        return decode_view_message({encoded.begin(), encoded.end()}).has_value();
+    };
+    REQUIRE(accepted(document));
+    auto negative_age = document;
+    negative_age["age"] = -1;
+    CHECK_FALSE(accepted(negative_age));
+    auto unknown_kind = document;
+    unknown_kind["items"][0][0] = 17;
+    CHECK_FALSE(accepted(unknown_kind));
+}
+
 TEST_CASE("an item is not replaced by an older revision of it")
 {
     store_view view;
