Routes: bound the work of applying a traffic split with large weights

Cause: a split starts at a random place of its sequence by skipping up to the sum of its weights in turns, millions where weights are large; the sum was kept in an int. Change: at most 1,000 turns are skipped, which is enough to set nodes apart, and sums have 64 bits.

--- a/src/core/configuration/route_table.cpp
+++ b/src/core/configuration/route_table.cpp
@@ -6,6 +6,13 @@
 #include <set>
 
 namespace anvilpost {
+namespace {
+
+/// Enough for the nodes of a fleet to start at different places; a sequence is as long as the sum of its
+/// weights, which may be millions.
+constexpr std::int64_t max_turns_to_skip = 1'000;
+
+} // namespace
 
 weighted_round_robin::weighted_round_robin(const std::vector<route_target>& targets, random_port& random)
     : targets_(targets), current_weights_(targets.size(), 0)
@@ -14,8 +21,9 @@
         total_weight_ += target.weight_;
     }
     // Skipping a random number of turns starts the sequence at a random place.
-    for (auto turns_to_skip = random_below(random, static_cast<std::size_t>(std::max(1, total_weight_)));
-         turns_to_skip > 0; --turns_to_skip) {
+    const auto turns = std::clamp<std::int64_t>(total_weight_, 1, max_turns_to_skip);
+    for (auto turns_to_skip = random_below(random, static_cast<std::size_t>(turns)); turns_to_skip > 0;
+         --turns_to_skip) {
         (void)next();
     }
 }
--- a/src/core/configuration/route_table.h
+++ b/src/core/configuration/route_table.h
@@ -5,6 +5,7 @@
 #include "core/configuration/configuration.h"
 #include "ports/random_port.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -27,8 +28,8 @@
 
 private:
     std::vector<route_target> targets_;
-    std::vector<int> current_weights_; ///< By target; the largest is chosen next. Sums to 0 between calls.
-    int total_weight_ = 0;             ///< Sum of the targets' weights.
+    std::vector<std::int64_t> current_weights_; ///< By target; the largest is next. Sums to 0 between calls.
+    std::int64_t total_weight_ = 0;             ///< Sum of the targets' weights.
 };
 
 /// The routes in force, with the round-robin state of each. Invariant: `find` returns routes of the
--- a/tests/core/route_table_test.cpp
+++ b/tests/core/route_table_test.cpp
@@ -48,6 +48,28 @@
     REQUIRE(table.find("log.example", "/elsewhere")->targets_.front().service_ == "log");
 }
 
+// A node that does not answer for the length of a heartbeat timeout counts as dead, so applying a
+// configuration must take far less, whatever its weights are.
+TEST_CASE("routes with large weights are applied without delay")
+{
+    constexpr int max_weight = 1'000'000;
+    constexpr auto heartbeat_timeout = std::chrono::milliseconds(350);
+    configuration config;
+    std::vector<route_target> targets;
+    for (int i = 0; i < 20; ++i) {
+        targets.push_back({"s" + std::to_string(i), max_weight - i});
+        config.services_["s" + std::to_string(i)] = {};
+    }
+    for (int i = 0; i < 20; ++i) {
+        config.routes_.push_back(make_route("r" + std::to_string(i), "/" + std::to_string(i) + "/", targets));
+    }
+    split_mix random;
+    route_table table;
+    const auto start = std::chrono::steady_clock::now();
+    table.apply(config, random);
+    CHECK(std::chrono::steady_clock::now() - start < heartbeat_timeout);
+}
+
 TEST_CASE("windows of 200 calls match the weights to within one call while the configuration is reapplied")
 {
     configuration config;
