--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -57,6 +57,21 @@
     CHECK_THROWS_AS(formats.parse_configuration(configuration_text.substr(0, 300)), invalid_document);
 }
 
+TEST_CASE("a traffic split with a weight out of range is rejected, and a weight of 0 gets no traffic")
+{
+    const platform::document_formats formats({});
+    auto document = nlohmann::json::parse(configuration_text);
+    auto& split = document["routes"]["rows"][1][9];
+    for (const std::int64_t weight : {-1LL, 1'000'001LL, 4'294'967'297LL}) {
+        INFO(weight);
+        split[1]["weight"] = weight;
+        CHECK_THROWS_AS(formats.parse_configuration(document.dump()), invalid_document);
+    }
+    split[1]["weight"] = 0;
+    CHECK(formats.parse_configuration(document.dump()).routes_[1].targets_ ==
+          std::vector<route_target>{{"s1", 90}});
+}
+
 TEST_CASE("a registry entry is parsed into an upstream with its incarnation")
 {
     const platform::document_formats formats({});
@@ -117,3 +132,34 @@
     INFO(wrong.problems_.size());
     CHECK(wrong.problems_.size() >= 7);
 }
+
+TEST_CASE("a number of the settings file that is out of its range is a problem that names the field")
+{
+    const auto settings_with = [](const std::string& path, const nlohmann::json& value) {
+        nlohmann::json document{
+            {"self", {{"node", "n"}, {"zone", "a"}, {"limits", {{"cpu_share", 0.2}}}}},
+            {"network",
+             {{"listen", {{"front", "10.1.0.35:1"}, {"ready", "10.1.0.35:2"}, {"control", "10.1.0.35:3"}}},
+              {"internal_ports", {7660, 7675}}}},
+            {"platform", {{"platform", {{"address", "10.200.1.7:8142"}}}}},
+            {"terms", {{"bounds", {{"grace_s", 6}}}}}};
+        document[nlohmann::json::json_pointer(path)] = value;
+        return platform::parse_settings_file(document.dump()).problems_;
+    };
+    REQUIRE(settings_with("/terms/bounds/grace_s", 6).empty());
+    const std::vector<std::pair<std::string, nlohmann::json>> out_of_range{
+        {"/network/internal_ports/0", 70'000}, {"/network/internal_ports/0", 0},
+        {"/self/limits/cpu_share", 0},         {"/self/limits/cpu_share", 1e9},
+        {"/self/limits/cores", 1e9},           {"/self/limits/memory_mb", 1e300},
+        {"/self/limits/memory_mb", 0},         {"/self/limits/max_fds", 1e12},
+        {"/terms/bounds/grace_s", 1e15},       {"/terms/bounds/grace_s", 0},
+        {"/terms/bounds/drain_ms", 1e18},      {"/terms/bounds/retry_budget_ratio", 1e6},
+        {"/terms/bounds/probes_per_s", -1},    {"/terms/bounds/config_apply_ms", "soon"},
+    };
+    for (const auto& [path, value] : out_of_range) {
+        const auto problems = settings_with(path, value);
+        INFO(path << " = " << value.dump());
+        REQUIRE(problems.size() == 1);
+        CHECK(problems.front().find(path.substr(0, path.find("/0"))) != std::string::npos);
+    }
+}
