Registry: an incarnation that was leaving stays leaving when its entry returns

Cause: the mark lay in the entry. When the entry was removed, or overwritten by bytes that no codec reads, and the same incarnation was put again as active, it got new work although it was on its way out. Change: the registry remembers incarnations that were leaving when their entry vanished, for 10 minutes and up to 10,000. Ruled out: entries that vanished while active; their upstream may return, for instance after its lease lapsed. Measured: the new test failed for a deleted and for an unreadable entry, and passes now.

--- a/src/core/upstreams/upstream_registry.cpp
+++ b/src/core/upstreams/upstream_registry.cpp
@@ -5,6 +5,16 @@
 
 using kind = registry_event::kind;
 
+namespace {
+
+/// Identifies one incarnation of a registered upstream.
+std::string incarnation_key(const std::string& name, const registered_upstream& upstream)
+{
+    return name + "\n" + upstream.config_.incarnation_;
+}
+
+} // namespace
+
 void upstream_registry::report_event(kind event_kind, const std::string& name, std::uint64_t revision,
                                      const std::string& detail) const
 {
@@ -79,7 +89,8 @@
     const bool same_incarnation =
         registered && found->second.upstream_.config_.incarnation_ == parsed.config_.incarnation_;
     const bool was_leaving =
-        same_incarnation && found->second.upstream_.config_.state_ == upstream_state::leaving;
+        (same_incarnation && found->second.upstream_.config_.state_ == upstream_state::leaving) ||
+        departed_.contains(incarnation_key(item.name_, parsed));
     if (was_leaving) {
         parsed.config_.state_ = upstream_state::leaving;
     }
@@ -95,15 +106,21 @@
 
 bool upstream_registry::remove(const std::string& name, std::uint64_t revision)
 {
-    if (entries_.erase(name) == 0) {
+    const auto found = entries_.find(name);
+    if (found == entries_.end()) {
         return false;
     }
+    if (found->second.upstream_.config_.state_ == upstream_state::leaving) {
+        departed_.insert(incarnation_key(name, found->second.upstream_), clock_.now());
+    }
+    entries_.erase(found);
     report_event(kind::gone, name, revision);
     return true;
 }
 
 bool upstream_registry::drop_lapsed()
 {
+    departed_.remove_until(clock_.now() - departed_retention);
     std::vector<std::string> expired;
     for (const auto& [name, registered] : entries_) {
         if (registered.lapsed_at_ && clock_.now() - *registered.lapsed_at_ > lapse_grace_) {
--- a/src/core/upstreams/upstream_registry.h
+++ b/src/core/upstreams/upstream_registry.h
@@ -6,6 +6,7 @@
 #include "core/configuration/document_codec.h"
 #include "ports/clock_port.h"
 #include "ports/registry_store_port.h"
+#include "vocabulary/recent_keys.h"
 
 #include <functional>
 #include <map>
@@ -46,8 +47,8 @@
     }};
 };
 
-/// Invariants: the configuration's revision never decreases; an upstream that is leaving stays leaving until
-/// its incarnation changes or its entry is removed.
+/// Invariants: the configuration's revision never decreases; an incarnation of an upstream that is leaving
+/// stays leaving, also when its entry is removed and returns within `departed_retention`.
 class upstream_registry {
 public:
     upstream_registry(const document_codec& codec, const clock_port& clock, duration lapse_grace)
@@ -91,6 +92,11 @@
     configuration configuration_;
     std::map<std::string, entry> entries_;
     std::uint64_t refused_entries_ = 0;
+
+    /// Longer than an upstream goes on serving after it has announced that it leaves.
+    static constexpr duration departed_retention = std::chrono::minutes(10);
+    static constexpr std::size_t max_departed = 10'000;
+    recent_keys departed_{max_departed}; ///< Incarnations that were leaving when their entry was removed.
 };
 
 } // namespace anvilpost
--- a/tests/core/upstream_registry_test.cpp
+++ b/tests/core/upstream_registry_test.cpp
@@ -101,6 +101,28 @@
             upstream_state::active);
 }
 
+TEST_CASE("an upstream that was leaving when its entry vanished is leaving when the same incarnation returns")
+{
+    for (const bool deleted : {true, false}) {
+        registry_fixture fixture;
+        fixture.put("a", "log 1 leaving");
+        if (deleted) {
+            fixture.remove("a", false);
+        }
+        else {
+            fixture.put("a", "unreadable");
+        }
+        REQUIRE(fixture.upstreams() == 0);
+        fixture.put("a", "log 1 active");
+        INFO((deleted ? "deleted" : "unreadable"));
+        CHECK(fixture.registry_.effective().services_.at("log").upstreams_.at("a").state_ ==
+              upstream_state::leaving);
+        fixture.put("a", "log 2 active");
+        CHECK(fixture.registry_.effective().services_.at("log").upstreams_.at("a").state_ ==
+              upstream_state::active);
+    }
+}
+
 TEST_CASE("a deleted entry is removed at once, a lapsed one after its grace period unless it is put again")
 {
     registry_fixture fixture;
