Callers: send a problem without its body in response to HEAD

Cause: a problem document went to HEAD with its body (RFC 9110, section 9.3.2, forbids one). The caller reads it as the beginning of the next response. Change: the response to HEAD has the document's headers only. caller_server tells its port, so that tests of it can listen on one that the operating system chooses.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -76,6 +76,7 @@
     if (listener_ == nullptr) {
         throw std::runtime_error("cannot listen on " + ip + ":" + std::to_string(port));
     }
+    port_ = local_port(evconnlistener_get_fd(listener_));
     sweep_timer_.start(sweep_period);
 }
 
@@ -269,8 +270,9 @@
 void caller_server::send_problem(caller_connection& to, const problem& why, const std::string& request_id)
 {
     const std::string document = problem_document(why, request_id);
+    const bool no_body = to.request().head().method_ == "HEAD";
     response_start start{
-        status_of(why.kind_), reason_phrase(status_of(why.kind_)), {}, document.size(), false};
+        status_of(why.kind_), reason_phrase(status_of(why.kind_)), {}, document.size(), no_body};
     start.headers_.emplace_back(names_.request_id_, request_id);
     start.headers_.emplace_back(verdict_header, std::string(name_of(why.verdict_)));
     start.headers_.emplace_back("Content-Type", "application/problem+json");
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -81,6 +81,8 @@
 
     /// Accepted requests whose responses have not been written completely.
     [[nodiscard]] std::size_t open_exchanges() const { return exchanges_.size(); }
+    /// The port that callers connect to; chosen by the operating system if 0 was asked for.
+    [[nodiscard]] std::uint16_t port() const { return port_; }
     [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
     [[nodiscard]] time_point last_request() const { return last_request_; }
     [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
@@ -137,6 +139,7 @@
     time_point last_request_{};
     caller_counters counters_;
     evconnlistener* listener_ = nullptr;
+    std::uint16_t port_ = 0;
     timer sweep_timer_;
 };
 
--- a/src/adapters/http/http_fetch.cpp
+++ b/src/adapters/http/http_fetch.cpp
@@ -164,4 +164,13 @@
     return 0;
 }
 
+std::uint16_t local_port(int socket)
+{
+    sockaddr_storage bound{};
+    socklen_t length = sizeof bound;
+    getsockname(socket, reinterpret_cast<sockaddr*>(&bound), &length);
+    return bound.ss_family == AF_INET6 ? ntohs(reinterpret_cast<sockaddr_in6*>(&bound)->sin6_port)
+                                       : ntohs(reinterpret_cast<sockaddr_in*>(&bound)->sin_port);
+}
+
 } // namespace anvilpost
--- a/src/adapters/http/http_fetch.h
+++ b/src/adapters/http/http_fetch.h
@@ -44,4 +44,7 @@
 /// `ip` is not such an address.
 int to_socket_address(const std::string& ip, std::uint16_t port, sockaddr_storage& address);
 
+/// Returns the port to which a socket is bound.
+std::uint16_t local_port(int socket);
+
 } // namespace anvilpost
--- a/src/adapters/http/listener.cpp
+++ b/src/adapters/http/listener.cpp
@@ -3,11 +3,10 @@
 // clears when it releases them.
 #include "adapters/http/listener.h"
 
+#include "adapters/http/http_fetch.h"
 #include "vocabulary/problem.h"
 
-#include <arpa/inet.h>
 #include <stdexcept>
-#include <sys/socket.h>
 
 namespace anvilpost {
 namespace {
@@ -48,11 +47,7 @@
     if (socket_ == nullptr) {
         throw std::runtime_error("cannot listen on " + ip + ":" + std::to_string(port));
     }
-    sockaddr_storage bound{};
-    socklen_t length = sizeof bound;
-    getsockname(evhttp_bound_socket_get_fd(socket_), reinterpret_cast<sockaddr*>(&bound), &length);
-    port_ = bound.ss_family == AF_INET6 ? ntohs(reinterpret_cast<sockaddr_in6*>(&bound)->sin6_port)
-                                        : ntohs(reinterpret_cast<sockaddr_in*>(&bound)->sin_port);
+    port_ = local_port(evhttp_bound_socket_get_fd(socket_));
     constexpr auto every_method = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                   EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
                                   EVHTTP_REQ_PATCH;
