Callers: bound the wait of the oldest request for a configuration

Cause: each request that arrived at a node without a configuration restarted the one timer of 400 ms, so with an arrival more often than that none was refused. Change: only the first waiting request starts the timer; it runs for the oldest one. Measured: with a request each 100 ms the first was not answered within 1 s; now within its bound.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -215,7 +215,9 @@
     if (waiting_for_configuration_.size() > max_calls_waiting_for_configuration) {
         refuse_waiting_calls();
     }
-    configuration_wait_timer_.start(configuration_wait_timeout);
+    else if (waiting_for_configuration_.size() == 1) {
+        configuration_wait_timer_.start(configuration_wait_timeout);
+    }
 }
 
 void caller_server::start(exchange& opened)
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -134,7 +134,7 @@
     std::uint64_t next_call_ = 1;
     bool configured_ = true;
     std::vector<std::pair<time_point, call_id>> waiting_for_configuration_; ///< With arrival; oldest first.
-    timer configuration_wait_timer_;
+    timer configuration_wait_timer_; ///< Runs until the oldest of them has waited too long.
     bool draining_ = false;
     time_point last_request_{};
     caller_counters counters_;
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -106,3 +106,23 @@
     CHECK(caller.received().starts_with("HTTP/1.1 404"));
     CHECK(caller.received().ends_with("\r\n\r\n"));
 }
+
+TEST_CASE("the oldest request that waits for a configuration is refused in time while others arrive")
+{
+    server_fixture fixture;
+    fixture.server_.set_configured(false);
+    test_caller first(fixture.server_.port());
+    const std::string request = "GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+    first.send(request);
+    std::vector<std::unique_ptr<test_caller>> others;
+    for (int i = 0; i < 10 && first.received().empty(); ++i) {
+        others.push_back(std::make_unique<test_caller>(fixture.server_.port()));
+        others.back()->send(request);
+        fixture.run_for(100ms);
+    }
+    INFO("requests that arrived later: " << others.size());
+    // The bound is 400 ms; later requests must not extend it.
+    CHECK(others.size() < 7);
+    CHECK(first.received().starts_with("HTTP/1.1 503"));
+    CHECK(first.received().find("not_run") != std::string::npos);
+}
