Callers: enforce the limit on the memory of arriving requests

Bodies that never end could fill a node's memory: 2,000 connections with up to 64 MB each. Change: connections count what has arrived of incomplete requests in one sum. A request that takes it above the limit is refused with 503, not run, and Retry-After. Ruled out: refusing the largest instead; its caller has the most to lose.

--- a/src/adapters/http/caller_connection.cpp
+++ b/src/adapters/http/caller_connection.cpp
@@ -20,6 +20,9 @@
 /// Time for a caller to read the last response before the connection is closed, which may reset it.
 constexpr duration linger_timeout = 1s;
 
+/// By then some of the requests that are arriving are complete.
+constexpr std::chrono::milliseconds retry_after_without_memory = 1s;
+
 problem malformed(std::string detail)
 {
     return {problem_kind::malformed_request, verdict::not_run, std::move(detail), std::nullopt};
@@ -28,9 +31,9 @@
 } // namespace
 
 caller_connection::caller_connection(const event_loop& loop, const clock_port& clock,
-                                     const caller_connection_limits& limits, int socket,
-                                     caller_connection_events& events)
-    : clock_(clock), connection_limits_(limits), events_(events),
+                                     const caller_connection_limits& limits, arriving_memory& memory,
+                                     int socket, caller_connection_events& events)
+    : clock_(clock), connection_limits_(limits), memory_(memory), events_(events),
       stream_(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
       reader_(std::make_unique<message_reader>(message_side::request, limits.max_header_bytes_)),
       last_progress_at_(clock.now())
@@ -64,7 +67,16 @@
 
 std::size_t caller_connection::arriving_bytes() const
 {
-    return state_ == state::receiving ? evbuffer_get_length(reader_->body()) : 0;
+    return state_ == state::receiving
+               ? evbuffer_get_length(reader_->body()) + evbuffer_get_length(bufferevent_get_input(stream_))
+               : 0;
+}
+
+void caller_connection::count_arriving_bytes()
+{
+    const auto now = arriving_bytes();
+    memory_.used_bytes_ = memory_.used_bytes_ - counted_bytes_ + now;
+    counted_bytes_ = now;
 }
 
 void caller_connection::on_input()
@@ -90,6 +102,7 @@
     case read_status::more: break;
     case read_status::complete:
         state_ = state::serving;
+        count_arriving_bytes();
         if (!reader_->head().keep_alive_) {
             close_after_response_ = true;
         }
@@ -98,6 +111,11 @@
     case read_status::malformed: refuse(problem_kind::malformed_request, "the request is malformed"); return;
     case read_status::head_too_large: refuse(problem_kind::header_too_large, "the head is too large"); return;
     }
+    count_arriving_bytes();
+    if (memory_.used_bytes_ > memory_.max_bytes_) {
+        refuse(problem_kind::memory_exhausted, "too many requests are arriving", retry_after_without_memory);
+        return;
+    }
     if (!reader_->head_complete()) {
         return;
     }
@@ -118,12 +136,16 @@
     }
 }
 
-void caller_connection::refuse(problem_kind kind, std::string detail)
+void caller_connection::refuse(problem_kind kind, std::string detail,
+                               std::optional<std::chrono::milliseconds> retry_after)
 {
     state_ = state::serving;
     close_after_response_ = true;
+    evbuffer_drain(reader_->body(), evbuffer_get_length(reader_->body()));
+    count_arriving_bytes();
     auto why = malformed(std::move(detail));
     why.kind_ = kind;
+    why.retry_after_ = retry_after;
     events_.on_bad_request(*this, why);
 }
 
@@ -257,6 +279,7 @@
         return;
     }
     state_ = state::closed;
+    count_arriving_bytes();
     bufferevent_disable(stream_, EV_READ | EV_WRITE);
     events_.on_closed(*this);
 }
--- a/src/adapters/http/caller_connection.h
+++ b/src/adapters/http/caller_connection.h
@@ -29,6 +29,12 @@
     bool no_body_ = false;                ///< The response has no body, whatever `length_` says.
 };
 
+/// Memory for the requests that are arriving on all connections of a server.
+struct arriving_memory {
+    std::size_t max_bytes_ = 0;
+    std::size_t used_bytes_ = 0; ///< Sum of the connections' `arriving_bytes()`.
+};
+
 class caller_connection;
 
 /// Receives the events of connections. `on_closed` is the last event of a connection; the receiver may
@@ -51,7 +57,7 @@
 class caller_connection {
 public:
     caller_connection(const event_loop& loop, const clock_port& clock, const caller_connection_limits& limits,
-                      int socket, caller_connection_events& events);
+                      arriving_memory& memory, int socket, caller_connection_events& events);
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
     ~caller_connection();
@@ -83,6 +89,7 @@
     [[nodiscard]] bool idle() const;
     [[nodiscard]] bool answering() const { return response_started_; }
     [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Bytes received of a request that is not complete.
     [[nodiscard]] std::size_t arriving_bytes() const;
 
 private:
@@ -94,12 +101,16 @@
     void on_event(short what);
     void receive();
     void next_request();
-    void refuse(problem_kind kind, std::string detail);
+    void count_arriving_bytes();
+    void refuse(problem_kind kind, std::string detail,
+                std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
     void start_lingering();
     void close();
 
     const clock_port& clock_;
     const caller_connection_limits& connection_limits_; ///< Owned by the server; may change at any time.
+    arriving_memory& memory_;                           ///< Owned by the server.
+    std::size_t counted_bytes_ = 0;                     ///< This connection's part of `memory_`.
     caller_connection_events& events_;
     bufferevent* stream_;
     state state_ = state::receiving;
--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -60,8 +60,8 @@
                              const std::string& ip, std::uint16_t port, const caller_limits& limits,
                              const header_names& names, std::string node)
     : loop_(loop), clock_(clock), random_(random), limits_(limits),
-      connection_limits_(limits.connection_limits_), names_(names), node_(std::move(node)),
-      configuration_wait_timer_(loop, [this] { refuse_waiting_calls(); }),
+      connection_limits_(limits.connection_limits_), arriving_{limits.max_arriving_bytes_, 0}, names_(names),
+      node_(std::move(node)), configuration_wait_timer_(loop, [this] { refuse_waiting_calls(); }),
       sweep_timer_(loop, [this] { sweep(); })
 {
     sockaddr_storage address{};
@@ -113,7 +113,8 @@
 void caller_server::accept(int socket)
 {
     ++counters_.connections_accepted_;
-    auto accepted = std::make_unique<caller_connection>(loop_, clock_, connection_limits_, socket, *this);
+    auto accepted =
+        std::make_unique<caller_connection>(loop_, clock_, connection_limits_, arriving_, socket, *this);
     if (draining_) {
         accepted->close_after_response();
     }
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -22,11 +22,10 @@
 /// Limits over all callers' connections together, and per connection.
 struct caller_limits {
     std::size_t max_connections_ = 2'000;
-    /// Of all partly received requests together. caller_server does not enforce it.
-    std::size_t max_arriving_bytes_ = 24UL * 1024 * 1024;
-    std::size_t max_held_bytes_ = 16UL * 1024 * 1024; ///< Request bodies of all calls in flight.
-    std::size_t response_high_water_ = 256UL * 1024;  ///< Unsent; above it the pool stops reading.
-    caller_connection_limits connection_limits_;      ///< Defaults when the configuration sets none.
+    std::size_t max_arriving_bytes_ = 24UL * 1024 * 1024; ///< Of all partly received requests together.
+    std::size_t max_held_bytes_ = 16UL * 1024 * 1024;     ///< Request bodies of all calls in flight.
+    std::size_t response_high_water_ = 256UL * 1024;      ///< Unsent; above it the pool stops reading.
+    caller_connection_limits connection_limits_;          ///< Defaults when the configuration sets none.
 };
 
 /// Counters for the metrics endpoint.
@@ -86,6 +85,7 @@
     [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
     [[nodiscard]] time_point last_request() const { return last_request_; }
     [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
+    [[nodiscard]] std::size_t arriving_bytes() const { return arriving_.used_bytes_; }
     [[nodiscard]] const caller_counters& counters() const { return counters_; }
 
 private:
@@ -120,6 +120,7 @@
     random_port& random_;
     caller_limits limits_;
     caller_connection_limits connection_limits_; ///< Currently in effect; connections hold a reference to it.
+    arriving_memory arriving_;                   ///< Connections hold a reference to it.
     header_names names_;
     std::string node_;
     call_engine* engine_ = nullptr;
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -93,6 +93,12 @@
     call_engine engine_{{clock_, random_, upstreams_, server_, claims_, observer_}};
 };
 
+/// The head of an upload of `length` bytes, without the body.
+std::string upload_head(std::size_t length)
+{
+    return "POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
 } // namespace
 
 TEST_CASE("a problem in response to HEAD has no body")
@@ -126,3 +132,27 @@
     CHECK(first.received().starts_with("HTTP/1.1 503"));
     CHECK(first.received().find("not_run") != std::string::npos);
 }
+
+TEST_CASE("a request that would exceed the memory for arriving requests is refused as not run")
+{
+    caller_limits limits;
+    limits.max_arriving_bytes_ = 100'000;
+    server_fixture fixture(limits);
+    const std::string part(60'000, 'x');
+    auto first = std::make_unique<test_caller>(fixture.server_.port());
+    first->send(upload_head(200'000) + part);
+    fixture.run_for(50ms);
+    test_caller second(fixture.server_.port());
+    second.send(upload_head(200'000) + part);
+    REQUIRE(fixture.run_until([&] { return second.received().find("not_run") != std::string::npos; }));
+    CHECK(second.received().starts_with("HTTP/1.1 503"));
+    CHECK(second.received().find("Retry-After: ") != std::string::npos);
+    CHECK(first->received().empty());
+
+    first.reset();
+    fixture.run_for(50ms);
+    test_caller third(fixture.server_.port());
+    third.send(upload_head(200'000) + part);
+    fixture.run_for(50ms);
+    CHECK(third.received().empty());
+}
