Callers: remove an accessor that nothing uses

Cause: caller_server::arriving_bytes() was added with the limit on arriving requests for a metric that was not made. Measured: nothing to measure; the accessor was inline and unused.

--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -85,7 +85,6 @@
     [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
     [[nodiscard]] time_point last_request() const { return last_request_; }
     [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
-    [[nodiscard]] std::size_t arriving_bytes() const { return arriving_.used_bytes_; }
     [[nodiscard]] const caller_counters& counters() const { return counters_; }
 
 private:
