Upstreams: read, log and count the rate limits that upstreams name (no decision uses them yet)

Change: the limit is parsed (header table of the platform: Server-Limit), kept per upstream and incarnation, logged as upstream_rate_limit, shown in /v1/status; probes_of_limited_upstreams_total counts probes of limited upstreams. Ruled out: a limit without a successful response's word that it has ended; a response to a call from before the limit says nothing. Measured: adapter test of the parser; nothing is placed differently.

--- a/src/adapters/http/header_names.h
+++ b/src/adapters/http/header_names.h
@@ -25,6 +25,7 @@
     std::string expected_instance_; ///< Request: the only upstream instance that may run it.
     std::string instance_;          ///< Response to a probe: the instance that sent it.
     std::string not_run_;           ///< Response: the upstream did not execute the request.
+    std::string rate_limit_;        ///< Response: requests per second that the upstream accepts in all.
     std::string via_ = "Via";
     load_report_parser parse_load_ = parse_orca_report;
     bool generate_request_ids_ = true;    ///< Give an id to a request that has none.
--- a/src/adapters/http/header_rules.cpp
+++ b/src/adapters/http/header_rules.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
@@ -147,6 +148,20 @@
     return count ? std::optional(std::chrono::seconds(*count)) : std::nullopt;
 }
 
+std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name)
+{
+    const auto value = name.empty() ? std::nullopt : find_header(headers, name);
+    if (!value) {
+        return std::nullopt;
+    }
+    const auto text = trim(*value);
+    double rate = 0;
+    const char* end = text.data() + text.size();
+    const auto [stopped, error] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+    const bool valid = error == std::errc{} && stopped == end && std::isfinite(rate) && rate >= 0;
+    return valid ? std::optional(rate) : std::nullopt;
+}
+
 std::string host_without_port(const std::string& host)
 {
     std::string name = host;
--- a/src/adapters/http/header_rules.h
+++ b/src/adapters/http/header_rules.h
@@ -54,6 +54,10 @@
 /// malformed.
 std::optional<std::chrono::seconds> parse_keep_alive(const header_list& headers);
 
+/// Returns the rate limit in requests per second from the header `name`, or nothing when it is absent, or no
+/// decimal number from 0 up.
+std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name);
+
 /// Returns the value of a Host header in lower case without its port.
 std::string host_without_port(const std::string& host);
 
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -348,6 +348,7 @@
     converted.misdirected_ = !names_.expected_instance_.empty() && head.status_ == names_.misdirected_status_;
     converted.not_run_ = converted.misdirected_ || (!names_.not_run_.empty() &&
                                                     find_header(head.headers_, names_.not_run_).has_value());
+    converted.rate_limit_ = parse_rate_limit(head.headers_, names_.rate_limit_);
     if (const auto report = find_header(head.headers_, names_.load_)) {
         converted.load_ = names_.parse_load_(*report);
     }
--- a/src/adapters/logging/decision_log.cpp
+++ b/src/adapters/logging/decision_log.cpp
@@ -40,6 +40,20 @@
                {"left_out", *suppressed_lines}});
 }
 
+void decision_log::on_rate_limit_changed(const std::string& service, const std::string& upstream,
+                                         std::optional<double> per_second)
+{
+    const auto suppressed_lines = rate_limit_limiter_.admit(clock_.now());
+    if (!suppressed_lines) {
+        return;
+    }
+    write_log(log_level::info, "upstream_rate_limit",
+              {{"service", service},
+               {"upstream", upstream},
+               {"per_second", per_second ? nlohmann::json(*per_second) : nlohmann::json()},
+               {"left_out", *suppressed_lines}});
+}
+
 void decision_log::on_decision(const call_decision& decision)
 {
     const auto suppressed_lines = decision_limiters_[decision.kind_].admit(clock_.now());
--- a/src/adapters/metrics/call_metrics.h
+++ b/src/adapters/metrics/call_metrics.h
@@ -63,6 +63,12 @@
         first_.on_load_reported(service, upstream, report);
         second_.on_load_reported(service, upstream, report);
     }
+    void on_rate_limit_changed(const std::string& service, const std::string& upstream,
+                               std::optional<double> per_second) override
+    {
+        first_.on_rate_limit_changed(service, upstream, per_second);
+        second_.on_rate_limit_changed(service, upstream, per_second);
+    }
 
 private:
     call_observer& first_;
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -203,6 +203,10 @@
         service->learn_work(state.call_, *upstream, answered.running_at_start_,
                             upstream->cumulative_work(now()) - answered.cumulative_work_at_start_);
     }
+    if (upstream->limit().on_response(head.rate_limit_, head.status_ < 500, answered.started_, now())) {
+        ports_.observer_.on_rate_limit_changed(answered.service_, answered.upstream_,
+                                               upstream->limit().latest().per_second_);
+    }
     if (head.load_) {
         service->on_load(*upstream, *head.load_, now());
         ports_.observer_.on_load_reported(answered.service_, answered.upstream_, *head.load_);
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -119,6 +119,9 @@
     /// Handles all timers that are due: deadlines, hedges, and calls that have waited too long.
     void on_wakeup();
 
+    /// Returns nullptr for an unknown upstream.
+    [[nodiscard]] upstream_tracker* find_upstream(const std::string& service, const std::string& upstream);
+
     [[nodiscard]] std::size_t calls_in_flight() const { return calls_.size(); }
     [[nodiscard]] const std::map<std::string, service_state>& services() const { return services_; }
     [[nodiscard]] const crash_suspects& suspects() const { return suspects_; }
@@ -187,7 +190,6 @@
     bool retry_elsewhere(call_state& state, service_state& service, attempt_id failed);
     void drop_attempt(attempt_id attempt);
     std::chrono::milliseconds retry_after(const service_state* service);
-    upstream_tracker* find_upstream(const std::string& service, const std::string& upstream);
     void relay_response(call_state& state, attempt_id attempt, const response_head& head);
     void record_outcome(const attempt_state& answered, const call_state& state, const response_head& head);
     void report_decision(decision_kind kind, const call_state& state, const upstream_tracker* upstream,
--- a/src/core/upstreams/upstream_tracker.cpp
+++ b/src/core/upstreams/upstream_tracker.cpp
@@ -74,6 +74,7 @@
     consecutive_unreachable_ = 0;
     reported_unhealthy_ = false;
     warm_up_ends_at_ = now + config.warm_up_;
+    limit_ = {};
 }
 
 void upstream_tracker::configure(const upstream_config& config, time_point now)
--- a/src/core/upstreams/upstream_tracker.h
+++ b/src/core/upstreams/upstream_tracker.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/configuration/configuration.h"
+#include "core/upstreams/rate_limit.h"
 #include "vocabulary/call.h"
 
 #include <cstdint>
@@ -78,6 +79,10 @@
         count_outcomes(0, 1, now);
     }
 
+    /// The upstream's rate limit, as this incarnation or its responses to other nodes named it.
+    [[nodiscard]] rate_limit& limit() { return limit_; }
+    [[nodiscard]] const rate_limit& limit() const { return limit_; }
+
     /// Records that a probe or a response showed that the upstream works, which ends its ejection.
     void on_success(time_point now);
 
@@ -186,6 +191,7 @@
     int consecutive_unreachable_ = 0;
     bool reported_unhealthy_ = false;
     time_point warm_up_ends_at_{};
+    rate_limit limit_;
 };
 
 } // namespace anvilpost
--- a/src/daemon/call_path.cpp
+++ b/src/daemon/call_path.cpp
@@ -124,6 +124,9 @@
             row["failure_rate"] = upstream->failure_rate(clock_.now());
             row["ejected"] = upstream->ejected(clock_.now());
             row["leaving"] = upstream->leaving();
+            if (const auto limit = upstream->limit().latest().per_second_) {
+                row["rate_limit_per_second"] = *limit;
+            }
             if (const auto report_time = upstream->report_time()) {
                 row["report_age_ms"] =
                     std::chrono::duration<double, std::milli>(clock_.now() - *report_time).count();
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -192,6 +192,8 @@
 {
     auto& engine = call_path_.engine();
     const auto now = clock_.now();
+    const auto* upstream = engine.find_upstream(target.service_, target.upstream_);
+    probes_of_limited_upstreams_ += upstream != nullptr && upstream->limit().active() ? 1 : 0;
     engine.on_probe(target.service_, target.upstream_, result.answered_, result.healthy_, now);
     if (!result.answered_) {
         peers_.record_unanswered_probe(target.service_, target.upstream_);
@@ -331,6 +333,7 @@
     add_metric(text, "view_fetches_total", "counter", exchange.view_fetches_);
     add_metric(text, "probes_sent_total", "counter", prober_.sent());
     add_metric(text, "probes_unanswered_total", "counter", prober_.unanswered());
+    add_metric(text, "probes_of_limited_upstreams_total", "counter", probes_of_limited_upstreams_);
     add_metric(text, "event_loop_late_total", "counter", late_ticks_);
     add_metric(text, "log_lines_dropped_total", "counter", dropped_log_lines());
     return text;
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -109,6 +109,7 @@
     time_point next_probe_choice_{};
     time_point last_tick_{};
     std::uint64_t late_ticks_ = 0;
+    std::uint64_t probes_of_limited_upstreams_ = 0; ///< Ended while the upstream named a rate limit.
     bool fetching_view_ = false;
     page_server ready_server_;
     page_server control_server_;
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -67,6 +67,8 @@
     std::optional<load_report> load_;
     bool not_run_ = false;     ///< The upstream states that it did not run the request.
     bool misdirected_ = false; ///< A different instance answered at the upstream's address.
+    /// Requests per second that the upstream accepts from all nodes together; empty: it names no limit.
+    std::optional<double> rate_limit_{};
 };
 
 /// How an attempt ended.
--- a/tests/adapters/header_rules_test.cpp
+++ b/tests/adapters/header_rules_test.cpp
@@ -59,3 +59,19 @@
     REQUIRE_FALSE(parse_orca_report(R"({"named_metrics":{"in_flight":-1}})").has_value());
     REQUIRE_FALSE(parse_orca_report(R"({"named_metrics":[)").has_value());
 }
+
+TEST_CASE("a rate limit is a decimal number from 0 up, and anything else names none")
+{
+    const auto parse = [](const std::string& value) {
+        return parse_rate_limit({{"Limit", value}}, "limit");
+    };
+    CHECK(parse("4.1") == 4.1);
+    CHECK(parse("12") == 12.0);
+    CHECK(parse(" 0 ") == 0.0);
+    for (const std::string bad : {"", "-1", "4,1", "1e9", "nan", "inf", "0x4", "4.1 a second"}) {
+        INFO(bad);
+        CHECK_FALSE(parse(bad).has_value());
+    }
+    CHECK_FALSE(parse_rate_limit({{"Limit", "4"}}, "").has_value());
+    CHECK_FALSE(parse_rate_limit({}, "limit").has_value());
+}
