--- a/testing/test_deployment/worker.cpp
+++ b/testing/test_deployment/worker.cpp
@@ -55,6 +55,9 @@
 {
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Anvilpost-Server-Load", load_header().c_str());
+    if (faults_.rate_limit_) {
+        evhttp_add_header(headers, "Server-Limit", std::to_string(*faults_.rate_limit_).c_str());
+    }
     if (!request_id.empty()) {
         evhttp_add_header(headers, request_id_name, request_id.c_str());
     }
@@ -79,6 +82,7 @@
 void worker::on_request(evhttp_request* request)
 {
     listener_.on_request_complete(request);
+    arrival_times_.push_back(clock_.now());
     const std::string path = path_of(request);
     if (path == "/health") {
         answer_health(request);
--- a/testing/test_deployment/worker.h
+++ b/testing/test_deployment/worker.h
@@ -9,7 +9,9 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace anvilpost::testing {
 
@@ -33,6 +35,8 @@
     double never_answer_ = 0;       ///< Share of the requests that run and are never answered.
     double refuse_ = 0;             ///< Share of the requests that are refused as not executed.
     bool always_healthy_ = false;   ///< The health path answers 200 even while the worker drains.
+    /// Rate limit in requests per second that every response names; empty: none.
+    std::optional<double> rate_limit_;
 };
 
 /// Invariants: at most `slots_` requests run at a time; each start is reported to the guarantee checker.
@@ -49,6 +53,9 @@
     [[nodiscard]] bool draining() const { return draining_; }
     [[nodiscard]] const worker_settings& settings() const { return settings_; }
 
+    /// Times at which requests arrived, health probes included.
+    [[nodiscard]] const std::vector<time_point>& arrival_times() const { return arrival_times_; }
+
     /// Called for each request that is addressed to this worker, before it is queued or refused; must be set.
     std::function<void(const arrival&)> on_arrival_;
 
@@ -80,6 +87,8 @@
     worker_settings settings_;
     worker_faults faults_;
     bool draining_ = false;
+    steady_clock clock_;
+    std::vector<time_point> arrival_times_;
     std::deque<std::shared_ptr<job>> jobs_;
     listener listener_;
 };
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -50,6 +50,20 @@
     REQUIRE(deployment.run_until([&] { return is_serving(deployment); }, serve_timeout));
 }
 
+/// Largest number of the times from `since` on that lie within any span of `window`.
+std::size_t most_in_window(const std::vector<time_point>& times, time_point since, duration window)
+{
+    std::size_t most = 0;
+    auto oldest = std::lower_bound(times.begin(), times.end(), since);
+    for (auto newest = oldest; newest != times.end(); ++newest) {
+        while (*newest - *oldest > window) {
+            ++oldest;
+        }
+        most = std::max(most, static_cast<std::size_t>(newest - oldest) + 1);
+    }
+    return most;
+}
+
 void require_no_violations(test_deployment& deployment)
 {
     deployment.finish();
@@ -210,4 +224,38 @@
     require_no_violations(deployment);
 }
 
+TEST_CASE("an upstream that limits its rate gets no more than that from all nodes, probes included",
+          "[platform node]")
+{
+    constexpr double limit = 4;
+    constexpr duration window = 4s;
+    constexpr double allowed = 1.5 * limit * 4 + 5; // The users' rule for a window of 4 s.
+    auto settings = small_deployment_settings();
+    settings.nodes_ = 5;
+    settings.workers_per_service_ = 3;
+    test_deployment deployment(settings);
+    start_serving(deployment);
+    worker_faults in_need;
+    in_need.rate_limit_ = limit;
+    deployment.worker_at(0).set_faults(in_need);
+    deployment.start_callers(20, 20ms);
+    deployment.run_for(1s);
+    const auto since = deployment.now();
+    deployment.run_for(10s);
+    const auto most = most_in_window(deployment.worker_at(0).arrival_times(), since, window);
+    CHECK(static_cast<double>(most) <= allowed);
+    CHECK(most > limit); // The upstream's own capacity is used.
+    CHECK(is_serving(deployment));
+
+    deployment.worker_at(0).set_faults({});
+    const auto lifted = deployment.now();
+    CHECK(deployment.run_until(
+        [&] {
+            return static_cast<double>(
+                       most_in_window(deployment.worker_at(0).arrival_times(), lifted, window)) > 2 * allowed;
+        },
+        serve_timeout));
+    require_no_violations(deployment);
+}
+
 } // namespace anvilpost::testing
