--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -157,6 +157,7 @@
                           upstream.cumulative_work(now()),
                           1 + static_cast<int>(std::lround(upstream.occupancy(now())))};
     upstream.on_started();
+    upstream.limit().on_sent(now());
     state.phase_ = phase::running;
     state.active_.push_back(attempt);
     state.tried_.insert(upstream.name());
--- a/src/core/calls/call_engine_reports.cpp
+++ b/src/core/calls/call_engine_reports.cpp
@@ -116,6 +116,21 @@
     }
 }
 
+void call_engine::on_peer_rate_limit(const std::string& service, const std::string& upstream,
+                                     const rate_limit_notice& notice)
+{
+    if (auto* tracker = find_upstream(service, upstream)) {
+        tracker->limit().apply(notice, now());
+    }
+}
+
+void call_engine::set_rate_limit_share(const std::string& service, const std::string& upstream, double share)
+{
+    if (auto* tracker = find_upstream(service, upstream)) {
+        tracker->limit().set_share(share, now());
+    }
+}
+
 void call_engine::set_owned_slots(const std::string& service, const std::map<std::string, int>& owned)
 {
     auto* state = find_service(service);
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -114,7 +114,8 @@
 
 bool service_state::has_room(const upstream_tracker& upstream, time_point now) const
 {
-    if (!upstream.receives_calls() || upstream.in_flight() >= connection_limit()) {
+    if (!upstream.receives_calls() || upstream.in_flight() >= connection_limit() ||
+        !upstream.limit().allows(now)) {
         return false;
     }
     if (uses_earliest_finish()) {
@@ -299,11 +300,19 @@
                        [&](const auto& entry) { return has_room(*entry.second, now); });
 }
 
+double service_state::usable_slots(const upstream_tracker& upstream) const
+{
+    const double slots = upstream.slots(config_.policy_.slots_);
+    const auto limit = upstream.limit().latest().per_second_;
+    const std::chrono::duration<double> latency = latencies_.median();
+    return limit ? std::min(slots, *limit * latency.count()) : slots;
+}
+
 double service_state::slots_of_this_node() const
 {
     double slots = 0;
     for (const auto& [unused, tracker] : upstreams_) {
-        slots += tracker->receives_calls() ? tracker->slots(config_.policy_.slots_) : 0;
+        slots += tracker->receives_calls() ? usable_slots(*tracker) : 0;
     }
     return uses_earliest_finish() ? slots / static_cast<double>(position_.nodes_) : slots;
 }
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -147,7 +147,11 @@
     /// Slots of a typical upstream: those of the first upstream by name.
     [[nodiscard]] int usual_slots() const;
 
-    /// True when the upstream receives calls and has a free slot, within this node's connection limit.
+    /// Slots of an upstream that the fleet can keep busy: all of them, or fewer within its rate limit.
+    [[nodiscard]] double usable_slots(const upstream_tracker& upstream) const;
+
+    /// True when the upstream receives calls and has a free slot, within this node's connection limit and its
+    /// share of the upstream's rate limit.
     [[nodiscard]] bool has_room(const upstream_tracker& upstream, time_point now) const;
 
     /// True when every upstream that receives calls is left out for failures. Then each of them is tried with
--- a/src/core/fleet/duty_assignment.cpp
+++ b/src/core/fleet/duty_assignment.cpp
@@ -11,6 +11,7 @@
 /// Salts of the rendezvous hashing. All nodes must use the same ones, or they assign duties differently.
 constexpr const char* leader_duty = "lead";
 constexpr const char* prober_duty = "probe";
+const std::string sharing_duty = "share ";
 
 } // namespace
 
@@ -50,17 +51,38 @@
     return std::find(probers_.begin(), probers_.end(), peers_.self().name_) != probers_.end();
 }
 
-bool duty_assignment::probes(const std::string& upstream, const std::string& data_centre) const
+std::string duty_assignment::responsible_data_centre(const std::string& upstream,
+                                                     const std::string& data_centre) const
 {
     if (data_centres_.empty()) {
-        return false;
+        return "";
     }
-    std::string responsible = data_centre;
-    if (std::find(data_centres_.begin(), data_centres_.end(), data_centre) == data_centres_.end()) {
-        // No live node in that data centre: another one probes its upstreams.
-        responsible = data_centres_[stable_hash(upstream) % data_centres_.size()];
+    const bool has_nodes =
+        std::find(data_centres_.begin(), data_centres_.end(), data_centre) != data_centres_.end();
+    return has_nodes ? data_centre : data_centres_[stable_hash(upstream) % data_centres_.size()];
+}
+
+double duty_assignment::share_of(const std::string& upstream, const std::string& data_centre,
+                                 std::size_t sharers, time_point now) const
+{
+    const auto& self = peers_.self();
+    if (responsible_data_centre(upstream, data_centre) != self.data_centre_) {
+        return 0;
     }
-    if (responsible != peers_.self().data_centre_ || probers_.empty()) {
+    if (!peers_.has_local_majority(now)) {
+        return 1.0 / static_cast<double>(peers_.known_in_data_centre());
+    }
+    const auto order = peers_.ranked(self.data_centre_, sharing_duty + upstream, now);
+    const auto count = std::min(sharers, order.size());
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
+    const bool chosen =
+        std::any_of(order.begin(), end, [&](const peer* other) { return other->name_ == self.name_; });
+    return chosen ? 1.0 / static_cast<double>(count) : 0;
+}
+
+bool duty_assignment::probes(const std::string& upstream, const std::string& data_centre) const
+{
+    if (probers_.empty() || responsible_data_centre(upstream, data_centre) != peers_.self().data_centre_) {
         return false;
     }
     const auto best =
--- a/src/core/fleet/duty_assignment.h
+++ b/src/core/fleet/duty_assignment.h
@@ -31,6 +31,13 @@
     /// another data centre probes it.
     [[nodiscard]] bool probes(const std::string& upstream, const std::string& data_centre) const;
 
+    /// This node's share, in [0, 1], of what all nodes together may send to an upstream in `data_centre` that
+    /// `sharers` nodes use. They are nodes of that data centre, which learn of each other's loss soonest. A
+    /// node that sees only a minority of them takes no more than an equal part, so that separated groups
+    /// together stay within the whole.
+    [[nodiscard]] double share_of(const std::string& upstream, const std::string& data_centre,
+                                  std::size_t sharers, time_point now) const;
+
     /// True when this node is one of its data centre's probers.
     [[nodiscard]] bool is_prober() const;
 
@@ -41,6 +48,11 @@
     static constexpr std::size_t probers_in_large_data_centre = 3;
     static constexpr std::size_t small_data_centre_nodes = 8;
 
+    /// The data centre whose nodes have the duties for an upstream: its own, or another one while no node
+    /// lives there. Empty before the first `update`.
+    [[nodiscard]] std::string responsible_data_centre(const std::string& upstream,
+                                                      const std::string& data_centre) const;
+
     const peer_table& peers_;
     std::size_t store_rank_ = 0;
     bool leads_ = true;
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -56,6 +56,13 @@
 /// new strike, and nodes would send it to each other for ever.
 constexpr duration strike_retention_time = 10s;
 
+/// The end of an upstream's rate limit is repeated in messages for this long. A limit itself is repeated
+/// while it lasts.
+constexpr duration ended_limit_propagation_time = 10s;
+
+/// Maximum number of rate limits in one message, those learnt last first.
+constexpr std::size_t max_rate_limits_per_message = 32;
+
 /// A peer of this data centre counts as silent once this many of its periodic messages are missing, but
 /// not before `min_heartbeat_timeout`.
 constexpr int max_missed_messages = 6;
@@ -98,6 +105,7 @@
         }
     }
     std::erase_if(loads_, [&](const auto& item) { return !upstreams_.contains(item.first); });
+    std::erase_if(rate_limited_, [&](const auto key) { return !upstreams_.contains(key); });
     std::erase_if(reported_counts_, [&](const auto& item) { return !upstreams_.contains(item.first); });
 }
 
@@ -187,7 +195,10 @@
         duties_.update(now);
         ports_.follower_.set_rank(duties_.store_rank());
         ports_.engine_.set_fleet_position({peers_.live(now).size() + 1, peers_.self().data_centre_});
+        divide_rate_limits(now);
     }
+    // A limited upstream can take its next call when time has passed; nothing else would start one.
+    loads_changed_ = loads_changed_ || !rate_limited_.empty();
     apply_loads();
     contact_seeds(now);
     send_to_local_peers(now);
@@ -306,6 +317,7 @@
         early_status_due_ = false;
         add_call_counts(message);
         add_strikes(message, recipients::local_peers, now);
+        add_rate_limits(message, now);
         add_echoes(message, now);
         for (const auto& known : peers_.sample(peers_per_message, ports_.random_, now)) {
             message.peers_.push_back({*known.peer_, known.age_});
@@ -337,6 +349,7 @@
         auto message = make_message(now);
         add_local_loads(message, now);
         add_strikes(message, recipients::leaders, now);
+        add_rate_limits(message, now);
         if (const auto last = last_messages_.find(leader->name_); last != last_messages_.end()) {
             message.echoes_.push_back(
                 {last->second.identity_, last->second.sequences_.highest(), now - last->second.received_});
@@ -416,6 +429,7 @@
     handle_view_status(*message, now);
     handle_strikes(*message, now);
     handle_loads(*message, now);
+    handle_rate_limits(*message, now);
     if (message->has_call_counts_) {
         handle_call_counts(*message, last, is_newest);
     }
@@ -490,6 +504,59 @@
     }
 }
 
+/// Finds the upstreams that limit their rate and sets this node's shares of the limits.
+void peer_exchange::divide_rate_limits(time_point now)
+{
+    rate_limited_.clear();
+    for (const auto& [key, upstream] : upstreams_) {
+        const auto* tracker = ports_.engine_.find_upstream(upstream.service_, upstream.name_);
+        if (tracker == nullptr || upstream.ambiguous_) {
+            continue;
+        }
+        const auto& latest = tracker->limit().latest();
+        const bool ended_lately =
+            latest.learnt_at_ != time_point{} && now - latest.learnt_at_ <= ended_limit_propagation_time;
+        if (!latest.per_second_ && !ended_lately) {
+            continue;
+        }
+        rate_limited_.push_back(key);
+        const double share = duties_.share_of(upstream.name_, upstream.data_centre_,
+                                              rate_limit_sharers(latest.per_second_.value_or(0)), now);
+        ports_.engine_.set_rate_limit_share(upstream.service_, upstream.name_, share);
+    }
+}
+
+void peer_exchange::add_rate_limits(peer_message& message, time_point now) const
+{
+    std::vector<std::pair<duration, upstream_rate_limit>> by_age;
+    for (const auto key : rate_limited_) {
+        const auto& upstream = upstreams_.at(key);
+        const auto* tracker = ports_.engine_.find_upstream(upstream.service_, upstream.name_);
+        if (tracker == nullptr) {
+            continue;
+        }
+        const auto& latest = tracker->limit().latest();
+        const duration age = now - latest.learnt_at_;
+        by_age.push_back({age, {key, latest.per_second_, age}});
+    }
+    const auto count = std::min(max_rate_limits_per_message, by_age.size());
+    std::partial_sort(by_age.begin(), by_age.begin() + static_cast<std::ptrdiff_t>(count), by_age.end(),
+                      [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (std::size_t i = 0; i < count; ++i) {
+        message.rate_limits_.push_back(by_age[i].second);
+    }
+}
+
+void peer_exchange::handle_rate_limits(const peer_message& message, time_point now)
+{
+    for (const auto& limit : message.rate_limits_) {
+        if (const auto* upstream = find_upstream(limit.upstream_)) {
+            ports_.engine_.on_peer_rate_limit(upstream->service_, upstream->name_,
+                                              {limit.per_second_, now - limit.age_});
+        }
+    }
+}
+
 /// The ended calls of a message are counted whenever it arrives. Its calls in flight hold only until a newer
 /// message tells them, so those of a late message are ignored.
 void peer_exchange::handle_call_counts(const peer_message& message, last_message& last, bool is_newest)
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -150,6 +150,9 @@
     void send(const std::string& ip, std::uint16_t port, const std::string& bytes);
     void handle_view_status(const peer_message& message, time_point now);
     void handle_loads(const peer_message& message, time_point now);
+    void handle_rate_limits(const peer_message& message, time_point now);
+    void divide_rate_limits(time_point now);
+    void add_rate_limits(peer_message& message, time_point now) const;
     void handle_call_counts(const peer_message& message, last_message& last, bool is_newest);
     void update_load(std::uint32_t key, upstream_load load, time_point measured_at);
     [[nodiscard]] const known_upstream* find_upstream(std::uint32_t key) const;
@@ -164,6 +167,8 @@
     std::map<std::string, last_message> last_messages_;        ///< By peer name.
     std::map<std::uint32_t, reported_counts> reported_counts_; ///< By upstream key.
     std::map<request_strike, strike_propagation> strikes_;
+    /// Upstreams that name a rate limit, or whose limit ended a short time ago.
+    std::vector<std::uint32_t> rate_limited_;
     std::uint64_t sequence_ = 0;
     static constexpr std::size_t tracked_messages = 1024;
     std::array<time_point, tracked_messages> sent_at_{}; ///< By sequence number modulo the size.
--- a/src/core/fleet/peer_messages.cpp
+++ b/src/core/fleet/peer_messages.cpp
@@ -7,6 +7,8 @@
 #include "core/fleet/packed_records.h"
 #include "vocabulary/stable_hash.h"
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace anvilpost {
@@ -123,6 +125,38 @@
     return all_counts;
 }
 
+/// Rates are sent in thousandths; the largest value stands for "no limit".
+constexpr std::uint32_t no_rate_limit = std::numeric_limits<std::uint32_t>::max();
+constexpr double thousandths = 1000;
+
+packed_bytes pack_rate_limits(const std::vector<upstream_rate_limit>& limits)
+{
+    record_writer writer;
+    for (const auto& limit : limits) {
+        const double rate = limit.per_second_.value_or(0) * thousandths;
+        const auto field = static_cast<std::uint32_t>(std::min<double>(rate, no_rate_limit - 1));
+        writer.add(limit.upstream_);
+        writer.add(limit.per_second_ ? field : no_rate_limit);
+        writer.add(saturating_cast<std::uint32_t>(milliseconds(limit.age_)));
+    }
+    return writer.take();
+}
+
+std::vector<upstream_rate_limit> unpack_rate_limits(const packed_bytes& bytes)
+{
+    std::vector<upstream_rate_limit> limits;
+    for (record_reader reader(bytes); !reader.at_end();) {
+        auto& limit = limits.emplace_back();
+        limit.upstream_ = reader.next<std::uint32_t>();
+        const auto rate = reader.next<std::uint32_t>();
+        if (rate != no_rate_limit) {
+            limit.per_second_ = rate / thousandths;
+        }
+        limit.age_ = std::chrono::milliseconds(reader.next<std::uint32_t>());
+    }
+    return limits;
+}
+
 /// Returns the bytes of a field, or an empty list where the field is missing.
 packed_bytes bytes_of(const json& document, const char* field)
 {
@@ -150,6 +184,7 @@
     for (const auto& value : document.value("strikes", json::array())) {
         message.strikes_.push_back({value.at(0).get<std::uint64_t>(), value.at(1).get<std::string>()});
     }
+    message.rate_limits_ = unpack_rate_limits(bytes_of(document, "limits"));
     return message;
 }
 
@@ -187,6 +222,9 @@
     for (const auto& strike : message.strikes_) {
         document["strikes"].push_back({strike.fingerprint_, strike.upstream_});
     }
+    if (!message.rate_limits_.empty()) {
+        document["limits"] = json::binary(pack_rate_limits(message.rate_limits_));
+    }
     const auto bytes = json::to_cbor(document);
     return {bytes.begin(), bytes.end()};
 }
--- a/src/core/fleet/peer_messages.h
+++ b/src/core/fleet/peer_messages.h
@@ -40,6 +40,13 @@
     duration age_{};
 };
 
+/// The rate limit that an upstream names in its responses, or the end of one.
+struct upstream_rate_limit {
+    std::uint32_t upstream_ = 0;       ///< See `upstream_key`.
+    std::optional<double> per_second_; ///< Requests per second of all nodes together; empty: no limit.
+    duration age_{};                   ///< Since a node learnt of it from a response.
+};
+
 /// The sender's own calls to an upstream.
 struct upstream_call_counts {
     std::uint32_t upstream_ = 0;
@@ -73,6 +80,7 @@
     bool has_call_counts_ = false; ///< `call_counts_` lists all of the sender's calls in flight.
     std::vector<upstream_call_counts> call_counts_;
     std::vector<request_strike> strikes_;
+    std::vector<upstream_rate_limit> rate_limits_;
 };
 
 /// Hash that stands for an upstream in messages. Receivers ignore data about upstreams whose keys collide.
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -179,7 +179,10 @@
                      duration(static_cast<duration::rep>(microseconds_per_second / per_second)));
         for (const auto& [name, upstream] : service.upstreams()) {
             const auto& config = upstream->config();
-            if (upstream->receives_calls() && peers_.duties().probes(name, config.data_centre_)) {
+            // Probes would use up the few requests that an upstream in need accepts; its responses to calls
+            // tell its load.
+            const bool wants_probes = upstream->receives_calls() && !upstream->limit().active();
+            if (wants_probes && peers_.duties().probes(name, config.data_centre_)) {
                 targets.push_back(
                     {service_name, name, config.ip_, config.port_, policy.health_path_, period});
             }
--- a/src/ports/call_observer.h
+++ b/src/ports/call_observer.h
@@ -59,8 +59,8 @@
     /// Called when a response carried a load report. The names are those of the service and the upstream.
     virtual void on_load_reported(const std::string&, const std::string&, const load_report&) {}
 
-    /// Called when a response to this node named a new rate limit in requests per second, or ended one (empty).
-    /// The names are those of the service and the upstream.
+    /// Called when a response to this node named a new rate limit in requests per second, or ended one
+    /// (empty). The names are those of the service and the upstream.
     virtual void on_rate_limit_changed(const std::string&, const std::string&, std::optional<double>) {}
 };
 
--- a/tests/adapters/header_rules_test.cpp
+++ b/tests/adapters/header_rules_test.cpp
@@ -62,9 +62,7 @@
 
 TEST_CASE("a rate limit is a decimal number from 0 up, and anything else names none")
 {
-    const auto parse = [](const std::string& value) {
-        return parse_rate_limit({{"Limit", value}}, "limit");
-    };
+    const auto parse = [](const std::string& value) { return parse_rate_limit({{"Limit", value}}, "limit"); };
     CHECK(parse("4.1") == 4.1);
     CHECK(parse("12") == 12.0);
     CHECK(parse(" 0 ") == 0.0);
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -359,3 +359,46 @@
     CHECK(static_cast<double>(with_strikes.second - baseline.second) <
           3.0 * static_cast<double>(baseline_bytes));
 }
+
+TEST_CASE("a rate limit that one node learns reaches the nodes of all data centres, and so does its end")
+{
+    network net;
+    for (int i = 0; i < 3; ++i) {
+        net.add("n" + std::to_string(i), "north");
+        net.add("s" + std::to_string(i), "south");
+    }
+    net.run(3s);
+    const auto limit_at = [&](const auto& node) {
+        return node->engine_.find_upstream("log", "u1")->limit().latest().per_second_;
+    };
+    auto& first = *net.nodes_.front();
+    first.engine_.on_peer_rate_limit("log", "u1", {2.5, net.clock_.now()});
+    net.run(400ms);
+    double shares = 0;
+    for (const auto& node : net.nodes_) {
+        CHECK(limit_at(node) == 2.5);
+        const auto now = net.clock_.now();
+        shares += node->exchange_.duties().share_of("u1", "north", rate_limit_sharers(2.5), now);
+    }
+    CHECK(shares == 1.0);
+    first.engine_.on_peer_rate_limit("log", "u1", {std::nullopt, net.clock_.now()});
+    net.run(400ms);
+    for (const auto& node : net.nodes_) {
+        CHECK_FALSE(limit_at(node).has_value());
+    }
+}
+
+TEST_CASE("rate limits are the same after a message was encoded and decoded")
+{
+    peer_message message;
+    message.sender_ = {"n1", 1, "north", "10.0.0.1", 1, 2, 200, false};
+    message.rate_limits_ = {{7, 4.125, 90s}, {8, std::nullopt, 20ms}, {9, 0.0, 0ms}};
+    const auto decoded = decode_peer_message(encode(message));
+    REQUIRE(decoded.has_value());
+    REQUIRE(decoded->rate_limits_.size() == 3);
+    CHECK(decoded->rate_limits_[0].upstream_ == 7);
+    CHECK(decoded->rate_limits_[0].per_second_ == 4.125);
+    CHECK(decoded->rate_limits_[0].age_ == 90s);
+    CHECK_FALSE(decoded->rate_limits_[1].per_second_.has_value());
+    CHECK(decoded->rate_limits_[2].per_second_ == 0.0);
+}
--- a/tests/core/rate_limit_test.cpp
+++ b/tests/core/rate_limit_test.cpp
@@ -138,7 +138,7 @@
     CHECK(limit.active());
     CHECK(limit.on_response(std::nullopt, true, start + 2s, start + 3s));
     CHECK_FALSE(limit.active());
-    CHECK_FALSE(limit.apply({4.0, start + 1s})); // Another node's older word.
+    CHECK_FALSE(limit.apply({4.0, start + 1s}, start + 4s)); // Another node's older word.
     CHECK_FALSE(limit.active());
 }
 
