Upstreams: notice, log and count that a node reaches none of them (no decision uses it yet)

Change: a node counts as cut off when three different upstreams failed since any responded and none has for 200 ms; logged, gauge reaches_upstreams, /v1/status.

--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -60,6 +60,11 @@
             service.drop_finished_upstreams();
         }
     }
+    std::size_t upstream_count = 0;
+    for (const auto& [unused, service] : config.services_) {
+        upstream_count += service.upstreams_.size();
+    }
+    reachability_.set_upstream_count(upstream_count);
     suspects_.set_strikes_to_quarantine(static_cast<std::size_t>(config.fleet_.strikes_to_quarantine_));
     set_fleet_position(position_);
     for (auto& [unused, service] : services_) {
@@ -221,6 +226,7 @@
         return;
     }
     found->second.answered_ = true;
+    reachability_.on_contact(now());
     const attempt_state answered = found->second;
     auto& state = calls_.at(answered.call_);
     record_outcome(answered, state, head);
@@ -316,6 +322,9 @@
     auto& state = calls_.at(ended.call_);
     auto* service = find_service(ended.service_);
     auto* upstream = service == nullptr ? nullptr : service->find(ended.upstream_);
+    if (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::broken) {
+        reachability_.on_failure(ended.upstream_);
+    }
     if (upstream != nullptr && outcome != attempt_outcome::complete) {
         upstream->on_failure(std::max(now() - ended.started_, service->failure_penalty()), now());
         report_decision(decision_kind::attempt_failed, state, upstream, std::string(name_of(outcome)));
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -7,6 +7,7 @@
 #include "core/calls/crash_suspects.h"
 #include "core/calls/service_state.h"
 #include "core/configuration/configuration.h"
+#include "core/upstreams/upstream_reachability.h"
 #include "ports/call_observer.h"
 #include "ports/caller_port.h"
 #include "ports/claim_port.h"
@@ -133,6 +134,10 @@
     [[nodiscard]] const std::map<std::string, service_state>& services() const { return services_; }
     [[nodiscard]] const crash_suspects& suspects() const { return suspects_; }
 
+    /// Whether this node reaches upstreams. The results of its own probes must be added to it.
+    [[nodiscard]] upstream_reachability& reachability() { return reachability_; }
+    [[nodiscard]] const upstream_reachability& reachability() const { return reachability_; }
+
     /// Called when a request breaks an upstream that it has not broken before, so that other nodes can be
     /// notified.
     std::function<void(std::uint64_t fingerprint, const std::string& upstream)> on_strike_;
@@ -231,6 +236,7 @@
     std::unordered_map<attempt_id, attempt_state> attempts_;
     std::set<std::pair<time_point, call_id>> wakeups_; ///< One timer per call that is not being relayed.
     crash_suspects suspects_;
+    upstream_reachability reachability_;
     std::uint64_t next_attempt_ = 1;
     fleet_position position_;
     std::optional<time_point> waiting_deadline_; ///< Set by `set_waiting_deadline`.
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -317,6 +317,7 @@
     // An attempt without a response by the deadline counts as a failure of its upstream, whatever load and
     // health the upstream reports.
     for (const auto attempt : state.active_) {
+        reachability_.on_failure(attempts_.at(attempt).upstream_);
         auto* upstream = service == nullptr ? nullptr : service->find(attempts_.at(attempt).upstream_);
         if (upstream != nullptr) {
             upstream->on_failure(std::max(now() - attempts_.at(attempt).started_, service->failure_penalty()),
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -143,10 +143,24 @@
     last_tick_ = clock_.now();
 }
 
+void registry_node::detect_cut_off()
+{
+    const bool cut_off = call_path_.engine().reachability().cut_off(clock_.now());
+    if (cut_off == cut_off_) {
+        return;
+    }
+    cut_off_ = cut_off;
+    write_log(cut_off ? log_level::warning : log_level::info,
+              cut_off ? "no upstream can be reached" : "upstreams can be reached again",
+              {{"in_flight", call_path_.callers().open_exchanges()},
+               {"peers_live", peers_.peers().live(clock_.now()).size()}});
+}
+
 void registry_node::on_tick()
 {
     clock_.detect_suspension();
     detect_late_tick();
+    detect_cut_off();
     peers_.on_tick();
     follower_.on_tick();
     if (registry_.drop_lapsed()) {
@@ -198,6 +212,12 @@
     const auto* upstream = engine.find_upstream(target.service_, target.upstream_);
     probes_of_limited_upstreams_ += upstream != nullptr && upstream->limit().active() ? 1 : 0;
     engine.on_probe(target.service_, target.upstream_, result.answered_, result.healthy_, now);
+    if (result.answered_) {
+        engine.reachability().on_contact(now);
+    }
+    else {
+        engine.reachability().on_failure(target.upstream_);
+    }
     if (!result.answered_) {
         peers_.record_unanswered_probe(target.service_, target.upstream_);
         return;
@@ -302,6 +322,7 @@
               {"leads", peers_.duties().leads()},
               {"probes", prober_.targets()}}},
             {"upstreams", registry_.size()},
+            {"reaches_upstreams", !cut_off_},
             {"in_flight", call_path_.callers().open_exchanges()},
             {"services", call_path_.service_status()}};
 }
@@ -336,6 +357,7 @@
     add_metric(text, "view_fetches_total", "counter", exchange.view_fetches_);
     add_metric(text, "probes_sent_total", "counter", prober_.sent());
     add_metric(text, "probes_unanswered_total", "counter", prober_.unanswered());
+    add_metric(text, "reaches_upstreams", "gauge", cut_off_ ? 0 : 1);
     add_metric(text, "probes_of_limited_upstreams_total", "counter", probes_of_limited_upstreams_);
     add_metric(text, "event_loop_late_total", "counter", late_ticks_);
     add_metric(text, "log_lines_dropped_total", "counter", dropped_log_lines());
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -77,6 +77,7 @@
 private:
     void on_tick();
     void detect_late_tick();
+    void detect_cut_off();
     void on_datagram(const std::string& bytes);
     void on_probe_result(const probe_target& target, const probe_result& result);
     void choose_probe_targets();
@@ -111,6 +112,7 @@
     std::uint64_t late_ticks_ = 0;
     std::uint64_t probes_of_limited_upstreams_ = 0; ///< Ended while the upstream named a rate limit.
     bool fetching_view_ = false;
+    bool cut_off_ = false; ///< No upstream can be reached, as last logged.
     page_server ready_server_;
     page_server control_server_;
     timer tick_;
