--- a/testing/test_deployment/loopback_proxy.cpp
+++ b/testing/test_deployment/loopback_proxy.cpp
@@ -4,8 +4,10 @@
 #include "adapters/http/http_fetch.h"
 
 #include <algorithm>
+#include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
+#include <vector>
 
 namespace anvilpost::testing {
 namespace {
@@ -18,6 +20,14 @@
     setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
 }
 
+std::uint16_t peer_port(evutil_socket_t fd)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    const int failed = getpeername(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    return failed != 0 ? 0 : ntohs(address.sin_port);
+}
+
 } // namespace
 
 loopback_proxy::loopback_proxy(event_loop& loop, const loopback_address& listen,
@@ -49,7 +59,9 @@
 
 void loopback_proxy::accept(evutil_socket_t fd)
 {
-    if (fault_ == link_fault::refused) {
+    const auto client_port = peer_port(fd);
+    const bool partitioned = partitioned_ && partitioned_(client_port);
+    if (fault_ == link_fault::refused || (partitioned && partition_kind_ != partition_kind::silent)) {
         const linger without_delay{1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
         evutil_closesocket(fd);
@@ -58,6 +70,8 @@
     connections_.push_back(std::make_unique<connection>());
     auto& added = *connections_.back();
     added.proxy_ = this;
+    added.client_port_ = client_port;
+    added.blackholed_ = partitioned;
     added.client_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     added.server_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     added.to_server_ = {&added, added.client_, added.server_, false, {}};
@@ -178,6 +192,27 @@
     }
 }
 
+void loopback_proxy::set_partition(partition_rule partitioned, partition_kind kind)
+{
+    partitioned_ = std::move(partitioned);
+    partition_kind_ = kind;
+    if (!partitioned_ || kind == partition_kind::new_refused) {
+        return;
+    }
+    std::vector<connection*> cut;
+    for (auto& conn : connections_) {
+        if (partitioned_(conn->client_port_)) {
+            cut.push_back(conn.get());
+        }
+    }
+    for (auto* conn : cut) {
+        conn->blackholed_ = true;
+        if (kind == partition_kind::reset) {
+            close(*conn, true);
+        }
+    }
+}
+
 void loopback_proxy::reset_open()
 {
     while (!connections_.empty()) {
--- a/testing/test_deployment/loopback_proxy.h
+++ b/testing/test_deployment/loopback_proxy.h
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -23,6 +24,16 @@
     refused, ///< New connections are reset.
 };
 
+/// What happens to the connections of a client that is partitioned from the server.
+enum class partition_kind {
+    silent,     ///< Open and new connections hang.
+    reset,      ///< Open and new connections are reset.
+    new_refused ///< Open connections work; new ones are reset.
+};
+
+/// Tells by the local port of a client's connection whether the client is partitioned from the server.
+using partition_rule = std::function<bool(std::uint16_t client_port)>;
+
 struct loopback_address {
     std::string ip_;
     std::uint16_t port_ = 0;
@@ -46,6 +57,10 @@
     /// Blackholes all connections that are open now: nothing more is forwarded and neither end is notified.
     void blackhole_open();
 
+    /// Partitions the clients that the rule names; an empty rule ends the partition. Connections that hang
+    /// stay so.
+    void set_partition(partition_rule partitioned, partition_kind kind);
+
     /// True when a fault was set at any time within the last `span`. `reset_open` and `blackhole_open` don't
     /// count.
     [[nodiscard]] bool had_fault_within(duration span) const
@@ -75,6 +90,7 @@
         direction to_server_;
         direction to_client_;
         bool blackholed_ = false;
+        std::uint16_t client_port_ = 0;
         std::unique_ptr<timer> forward_timer_;
     };
 
@@ -91,6 +107,8 @@
     evconnlistener* listener_ = nullptr;
     steady_clock clock_;
     link_fault fault_ = link_fault::none;
+    partition_rule partitioned_;
+    partition_kind partition_kind_ = partition_kind::silent;
     duration delay_{};
     bool had_fault_ = false;
     time_point last_fault_end_{};
--- a/testing/test_deployment/test_deployment.cpp
+++ b/testing/test_deployment/test_deployment.cpp
@@ -2,6 +2,8 @@
 // control. The checks are in test_deployment_checks.cpp.
 #include "test_deployment/test_deployment.h"
 
+#include "support/socket_owner.h"
+
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
@@ -284,6 +286,26 @@
     put_configuration();
 }
 
+void test_deployment::partition_from_workers(const std::set<int>& nodes, partition_kind kind)
+{
+    std::vector<pid_t> processes;
+    for (const int node : nodes) {
+        if (node_runs(node)) {
+            processes.push_back(nodes_.at(index(node)).process_->pid());
+        }
+    }
+    partition_rule partitioned;
+    if (!processes.empty()) {
+        partitioned = [processes](std::uint16_t client_port) {
+            return std::any_of(processes.begin(), processes.end(),
+                               [&](pid_t process) { return owns_tcp_port(process, client_port); });
+        };
+    }
+    for (auto& record : workers_) {
+        record.proxy_->set_partition(partitioned, kind);
+    }
+}
+
 node_choice test_deployment::choose_node()
 {
     std::vector<int> in_rotation;
--- a/testing/test_deployment/test_deployment.h
+++ b/testing/test_deployment/test_deployment.h
@@ -83,6 +83,10 @@
     [[nodiscard]] int worker_count() const { return static_cast<int>(workers_.size()); }
     [[nodiscard]] worker& worker_at(int number) { return *workers_.at(index(number)).instance_; }
 
+    /// Partitions nodes from all workers; the other nodes, the store and the callers still reach them. No
+    /// nodes: ends the partition.
+    void partition_from_workers(const std::set<int>& nodes, partition_kind kind);
+
     /// Writes the current routes to the store as a new configuration version.
     void put_configuration();
 
--- /dev/null
+++ b/tests/core/called_fleet.h
@@ -0,0 +1,175 @@
+// A fleet of real engines and gossip in virtual time whose callers use one service, "log". Upstreams may name
+// a rate limit, and nodes may lose their connections to all upstreams.
+#pragma once
+
+#include "core/exchange_network.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvilpost::testing {
+
+class called_fleet {
+public:
+    /// Nodes n0, n1, ... by turns in the data centres north and south; upstreams u1, u2, ... likewise.
+    called_fleet(int nodes, int upstreams)
+    {
+        auto& service = net_.config_.services_["log"];
+        service.policy_.queue_length_ = 100;
+        for (int i = 2; i <= upstreams; ++i) {
+            service.upstreams_["u" + std::to_string(i)] = {"10.0.0.9", 80, i % 2 == 0 ? "south" : "north", "",
+                                                           upstream_state::active};
+        }
+        for (int i = 0; i < nodes; ++i) {
+            net_.add("n" + std::to_string(i), i % 2 == 0 ? "north" : "south");
+        }
+        net_.run(3s);
+    }
+
+    /// Plays callers that send `calls_per_second` to the fleet, the same number to each node.
+    void play(duration length, int calls_per_second)
+    {
+        const auto end = net_.clock_.now() + length;
+        duration until_next{};
+        while (net_.clock_.now() < end) {
+            for (; until_next < peer_exchange::tick_period; until_next += duration(1s) / calls_per_second) {
+                send_call();
+            }
+            until_next -= peer_exchange::tick_period;
+            net_.run(peer_exchange::tick_period);
+            collect_orders();
+            end_attempts();
+            for (auto& node : net_.nodes_) {
+                node->engine_.on_wakeup();
+            }
+        }
+    }
+
+    /// The limit that responses of u1 name.
+    void set_limit(std::optional<double> per_second) { limit_ = per_second; }
+
+    /// Connections of these nodes to upstreams fail from now on.
+    void cut_off(const std::set<std::string>& nodes) { cut_off_ = nodes; }
+
+    /// Most requests that u1 got in any 4 s since the last `forget`.
+    [[nodiscard]] std::size_t most_in_four_seconds() const
+    {
+        std::size_t most = 0;
+        for (std::size_t oldest = 0, newest = 0; newest < starts_at_u1_.size(); ++newest) {
+            while (starts_at_u1_[newest] - starts_at_u1_[oldest] > 4s) {
+                ++oldest;
+            }
+            most = std::max(most, newest - oldest + 1);
+        }
+        return most;
+    }
+
+    /// Share of the calls since the last `forget` that the caller of a node sent there and got served.
+    [[nodiscard]] double served_share(const std::string& node) const
+    {
+        const auto sent = sent_.find(node);
+        const auto served = served_.find(node);
+        return sent == sent_.end() || served == served_.end()
+                   ? 0
+                   : static_cast<double>(served->second) / static_cast<double>(sent->second);
+    }
+
+    void forget()
+    {
+        starts_at_u1_.clear();
+        sent_.clear();
+        served_.clear();
+    }
+
+    network net_;
+
+private:
+    static constexpr duration service_time = 40ms;
+    static constexpr duration connect_timeout = 120ms;
+
+    struct running_attempt {
+        exchange_node* node_ = nullptr;
+        attempt_order order_;
+        time_point ends_at_{};
+        bool fails_ = false;
+    };
+
+    void send_call()
+    {
+        auto& node = *net_.nodes_[next_call_ % net_.nodes_.size()];
+        call request;
+        request.id_ = call_id{next_call_++};
+        request.service_ = "log";
+        request.route_ = "log";
+        request.repeatable_ = next_call_ % 3 != 0;
+        request.fingerprint_ = static_cast<std::uint64_t>(request.id_);
+        request.arrival_ = net_.clock_.now();
+        request.objective_ = request.arrival_ + 250ms;
+        request.deadline_ = request.arrival_ + 1s;
+        ++sent_[node.exchange_.peers().self().name_];
+        node.engine_.on_call(request);
+    }
+
+    void collect_orders()
+    {
+        for (auto& node : net_.nodes_) {
+            const bool fails = cut_off_.contains(node->exchange_.peers().self().name_);
+            for (const auto& order : node->upstreams_.started_) {
+                running_.push_back(
+                    {node.get(), order, net_.clock_.now() + (fails ? connect_timeout : service_time), fails});
+                if (order.upstream_ == "u1") {
+                    starts_at_u1_.push_back(net_.clock_.now());
+                }
+            }
+            node->upstreams_.started_.clear();
+        }
+    }
+
+    void end_attempts()
+    {
+        std::vector<running_attempt> ended;
+        std::erase_if(running_, [&](const running_attempt& open) {
+            const bool due = open.ends_at_ <= net_.clock_.now();
+            if (due) {
+                ended.push_back(open);
+            }
+            return due;
+        });
+        for (const auto& done : ended) {
+            end_attempt(done);
+        }
+    }
+
+    void end_attempt(const running_attempt& done)
+    {
+        auto& engine = done.node_->engine_;
+        if (done.fails_) {
+            engine.on_attempt_ended(done.order_.attempt_, attempt_outcome::not_sent);
+            return;
+        }
+        response_head head;
+        head.status_ = 200;
+        if (done.order_.upstream_ == "u1") {
+            head.rate_limit_ = limit_;
+        }
+        const auto served_before = done.node_->callers_.relayed_.size();
+        engine.on_response_started(done.order_.attempt_, head);
+        served_[done.node_->exchange_.peers().self().name_] +=
+            done.node_->callers_.relayed_.size() - served_before;
+        engine.on_attempt_ended(done.order_.attempt_, attempt_outcome::complete);
+    }
+
+    std::optional<double> limit_;
+    std::set<std::string> cut_off_;
+    std::vector<running_attempt> running_;
+    std::vector<time_point> starts_at_u1_;
+    std::map<std::string, std::size_t> sent_; ///< By node, as is `served_`.
+    std::map<std::string, std::size_t> served_;
+    std::uint64_t next_call_ = 1;
+};
+
+} // namespace anvilpost::testing
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -224,6 +224,41 @@
     require_no_violations(deployment);
 }
 
+TEST_CASE("callers of nodes that lost the path to all upstreams are served through the other nodes",
+          "[platform node]")
+{
+    auto settings = small_deployment_settings();
+    settings.nodes_ = 5;
+    test_deployment deployment(settings);
+    start_serving(deployment);
+    deployment.start_callers(15, 50ms);
+    const std::set<int> cut_off{0, 1, 2};
+    const auto kind = GENERATE(partition_kind::silent, partition_kind::reset, partition_kind::new_refused);
+    INFO("partition " << static_cast<int>(kind));
+    deployment.announce_fault(15s);
+    deployment.partition_from_workers(cut_off, kind);
+    deployment.run_for(3s); // The users' rule holds from then on.
+    const auto since = deployment.now();
+    deployment.run_for(4s);
+    const auto served_share = [&](bool at_cut_off_nodes) {
+        int sent = 0;
+        int served = 0;
+        for (const auto& [unused, request] : deployment.checker().requests()) {
+            if (request.sent_at_ >= since && request.outcome_ != request_outcome::open &&
+                cut_off.contains(request.node_) == at_cut_off_nodes) {
+                ++sent;
+                served += request.status_ == 200 ? 1 : 0;
+            }
+        }
+        return static_cast<double>(served) / std::max(1, sent);
+    };
+    CHECK(served_share(false) > 0.95);
+    CHECK(served_share(true) > served_share(false) * 2 / 3);
+    deployment.partition_from_workers({}, kind);
+    CHECK(deployment.run_until([&] { return is_serving(deployment); }, serve_timeout));
+    require_no_violations(deployment);
+}
+
 TEST_CASE("an upstream that limits its rate gets no more than that from all nodes, probes included",
           "[platform node]")
 {
