Calls: a node that reaches no upstream forwards its calls to another node (RECOVER)

What callers saw: 503 from every node that had lost its path to the upstreams, for as long as that lasted; elsewhere all was well. Cause: a node had only one way to serve a call. Class of fault: a node that can do nothing useful itself keeps its place in front of callers, and the parts of the fleet that could help do not hear of it. Ruled out: readiness (the balancer uses all nodes of a data centre once less than half are ready; open connections stay; a node that reaches the store counts as in touch); shorter time-outs (refuse sooner, serve nobody). Change: a node that is cut off, or a call that got no connection twice, is forwarded over the ordinary HTTP path for callers, with the attempts that are left; a forwarded call is not forwarded again, earns no retry budget twice, and is tried elsewhere only if the peer stated that it did not run. Nodes say in heartbeats that they are cut off: they are not chosen, lose the probing of upstreams and shares of rate limits, do not spread their failed probes, and count no longer in the division of slots. While in doubt a node probes four upstreams, so that it notices the end. An upstream cannot state a verdict in a node's name any more: the header is dropped. Why it works: callers, peers and the store still reach such a node; it needs no path of its own.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -354,6 +354,11 @@
     if (const auto marked = find_header(outgoing.headers_, names_.repeatable_)) {
         new_call.repeatable_ = *marked == "true";
     }
+    if (find_header(outgoing.headers_, forwarded_attempts_header)) {
+        new_call.forwarded_by_peer_ = true;
+        new_call.max_attempts_ =
+            std::min(new_call.max_attempts_, parse_attempts(outgoing.headers_, forwarded_attempts_header));
+    }
     const auto requested_timeout =
         parse_timeout(outgoing.headers_, names_.time_left_).value_or(route->timeout_);
     new_call.deadline_ = new_call.arrival_ + std::min(requested_timeout, route->timeout_);
@@ -401,7 +406,9 @@
     response_start start{response.status_, response.reason_, {}, std::nullopt, false};
     bool id_echoed = false;
     for (const auto& [name, value] : response.headers_) {
-        if (!is_hop_by_hop(name, connection_value) && !same_header(name, "Content-Length")) {
+        // Only nodes of the fleet may state a verdict; an upstream that did would speak in their name.
+        const bool forged = same_header(name, verdict_header) && !pool_->sent_to_peer(attempt);
+        if (!is_hop_by_hop(name, connection_value) && !same_header(name, "Content-Length") && !forged) {
             id_echoed = id_echoed || same_header(name, names_.request_id_);
             start.headers_.emplace_back(name, value);
         }
--- a/src/adapters/http/header_rules.cpp
+++ b/src/adapters/http/header_rules.cpp
@@ -148,6 +148,12 @@
     return count ? std::optional(std::chrono::seconds(*count)) : std::nullopt;
 }
 
+int parse_attempts(const header_list& headers, const std::string& name)
+{
+    const auto value = find_header(headers, name);
+    return std::max(1, value ? parse_digits<std::int32_t>(*value).value_or(1) : 1);
+}
+
 std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name)
 {
     const auto value = name.empty() ? std::nullopt : find_header(headers, name);
--- a/src/adapters/http/header_rules.h
+++ b/src/adapters/http/header_rules.h
@@ -18,6 +18,8 @@
 inline constexpr const char* verdict_header = "Anvilpost-Verdict";
 inline constexpr const char* repeatable_header = "Anvilpost-Repeatable";
 inline constexpr const char* timeout_header = "Anvilpost-Timeout-Ms";
+/// Request from one node to another: it was forwarded, and this many upstreams may still be tried.
+inline constexpr const char* forwarded_attempts_header = "Anvilpost-Forwarded-Attempts";
 inline constexpr const char* leaving_header = "Anvilpost-Leaving";
 inline constexpr const char* request_id_header = "X-Request-Id";
 inline constexpr const char* idempotency_key_header = "Idempotency-Key";
@@ -54,6 +56,9 @@
 /// malformed.
 std::optional<std::chrono::seconds> parse_keep_alive(const header_list& headers);
 
+/// Returns the number of attempts from the header `name`; 1 when it is no positive whole number.
+int parse_attempts(const header_list& headers, const std::string& name);
+
 /// Returns the rate limit in requests per second from the header `name`, or nothing when it is absent, or no
 /// decimal number from 0 up.
 std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name);
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -171,10 +171,10 @@
         head += name + ": " + value + "\r\n";
     };
     for (const auto& [name, value] : request.headers_) {
-        const bool not_copied = is_hop_by_hop(name, connection_value) ||
-                                same_header(name, "Content-Length") || same_header(name, names_.time_left_) ||
-                                same_header(name, names_.request_id_) ||
-                                same_header(name, names_.expected_instance_);
+        const bool not_copied =
+            is_hop_by_hop(name, connection_value) || same_header(name, "Content-Length") ||
+            same_header(name, names_.time_left_) || same_header(name, names_.request_id_) ||
+            same_header(name, names_.expected_instance_) || same_header(name, forwarded_attempts_header);
         if (!not_copied) {
             add(name, value);
         }
@@ -184,7 +184,10 @@
     if (!request.request_id_.empty()) {
         add(names_.request_id_, request.request_id_);
     }
-    if (!names_.expected_instance_.empty()) {
+    if (order.to_peer_) {
+        add(forwarded_attempts_header, std::to_string(order.attempts_left_));
+    }
+    else if (!names_.expected_instance_.empty()) {
         add(names_.expected_instance_, order.upstream_);
     }
     if (!names_.via_.empty()) {
@@ -339,6 +342,16 @@
     }
 }
 
+/// A response of another node: its own problems tell whether the request ran. Load and limits that an
+/// upstream reported through it are of use to that node only.
+response_head upstream_pool::peer_response_head(const message_head& head)
+{
+    response_head converted;
+    converted.status_ = head.status_;
+    converted.not_run_ = find_header(head.headers_, verdict_header) == name_of(verdict::not_run);
+    return converted;
+}
+
 response_head upstream_pool::to_response_head(const message_head& head) const
 {
     response_head converted;
@@ -361,7 +374,9 @@
     const attempt_id id = current.order_.attempt_;
     if (!current.forwarding_started_) {
         current.forwarding_started_ = true;
-        engine_->on_response_started(id, to_response_head(current.reader_->head()));
+        const auto& head = current.reader_->head();
+        engine_->on_response_started(id, current.order_.to_peer_ ? peer_response_head(head)
+                                                                 : to_response_head(head));
         if (find(id) == nullptr) {
             return; // The engine chose another attempt and cancelled this one.
         }
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -73,6 +73,9 @@
     /// the attempt ends.
     [[nodiscard]] const message_head& response(attempt_id id) const;
 
+    /// True when the attempt was sent to another node; may be called at the same times as `response`.
+    [[nodiscard]] bool sent_to_peer(attempt_id id) const { return attempts_.at(id)->order_.to_peer_; }
+
     /// Returns the length of the response's body in bytes, if it is known.
     [[nodiscard]] std::optional<std::uint64_t> response_length(attempt_id id) const;
 
@@ -127,6 +130,7 @@
     void report_end(attempt_id id, attempt_outcome outcome);
     void close_expired_connections();
     attempt* find(attempt_id id);
+    [[nodiscard]] static response_head peer_response_head(const message_head& head);
     [[nodiscard]] response_head to_response_head(const message_head& head) const;
 
     event_loop& loop_;
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -15,6 +15,10 @@
 /// request was sent on them, so they count neither as attempts nor against the retry budget.
 constexpr std::size_t max_upstreams_tried = 8;
 
+/// A call that got no connection this often is forwarded to another node, also when this node is not known to
+/// be cut off: its open connections may go on working while new ones are refused.
+constexpr int unsent_attempts_before_forwarding = 2;
+
 /// Bounds of the `Retry-After` time of rejections. A service that is short of slots has usually recovered
 /// within the longest one.
 constexpr std::chrono::milliseconds min_retry_after = 50ms;
@@ -84,9 +88,16 @@
         reject(state, problem_kind::unknown_service, "no service answers to this host");
         return;
     }
-    service->retry_budget_.add_call(now());
-    if (&service->hedge_budget() != &service->retry_budget_) {
-        service->hedge_budget().add_call(now());
+    // The node that forwarded a call has counted it already.
+    if (!request.forwarded_by_peer_) {
+        service->retry_budget_.add_call(now());
+        if (&service->hedge_budget() != &service->retry_budget_) {
+            service->hedge_budget().add_call(now());
+        }
+    }
+    if (request.forwarded_by_peer_ && reachability_.cut_off(now())) {
+        reject(state, problem_kind::upstream_unreachable, "this node cannot reach the upstreams either");
+        return;
     }
     if (suspects_.quarantined(request.fingerprint_, now())) {
         reject(state, problem_kind::quarantined, "this request broke the upstreams that ran it");
@@ -138,6 +149,9 @@
     if (service == nullptr) {
         return false;
     }
+    if (reachability_.cut_off(now()) && start_at_peer(state)) {
+        return true;
+    }
     auto* upstream = service->choose(state.call_, state.tried_, ports_.random_, now());
     if (upstream == nullptr || service->better_to_wait(state.call_, *upstream, now()) ||
         service->unlikely_to_meet_deadline(state.call_, *upstream, now()) ||
@@ -160,7 +174,9 @@
                           now(),
                           false,
                           upstream.cumulative_work(now()),
-                          1 + static_cast<int>(std::lround(upstream.occupancy(now())))};
+                          1 + static_cast<int>(std::lround(upstream.occupancy(now()))),
+                          "",
+                          0};
     upstream.on_started();
     upstream.limit().on_sent(now());
     state.phase_ = phase::running;
@@ -226,9 +242,15 @@
         return;
     }
     found->second.answered_ = true;
-    reachability_.on_contact(now());
     const attempt_state answered = found->second;
     auto& state = calls_.at(answered.call_);
+    if (answered.peer_.empty()) {
+        reachability_.on_contact(now());
+    }
+    else if (head.not_run_) {
+        on_refused_by_peer(state, attempt);
+        return;
+    }
     record_outcome(answered, state, head);
     if (!head.not_run_) {
         suspects_.clear(state.call_.fingerprint_);
@@ -322,21 +344,28 @@
     auto& state = calls_.at(ended.call_);
     auto* service = find_service(ended.service_);
     auto* upstream = service == nullptr ? nullptr : service->find(ended.upstream_);
-    if (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::broken) {
+    const bool at_peer = !ended.peer_.empty();
+    if (!at_peer && (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::broken)) {
         reachability_.on_failure(ended.upstream_);
     }
     if (upstream != nullptr && outcome != attempt_outcome::complete) {
         upstream->on_failure(std::max(now() - ended.started_, service->failure_penalty()), now());
-        report_decision(decision_kind::attempt_failed, state, upstream, std::string(name_of(outcome)));
+    }
+    if ((upstream != nullptr || at_peer) && outcome != attempt_outcome::complete) {
+        const std::string at = at_peer ? " at node " + ended.peer_ : "";
+        report_decision(decision_kind::attempt_failed, state, upstream, std::string(name_of(outcome)) + at);
     }
     if (outcome == attempt_outcome::not_sent) {
-        --state.attempts_made_;
+        state.attempts_made_ = at_peer ? ended.attempts_before_ : state.attempts_made_ - 1;
+        ++state.unsent_attempts_;
         if (upstream != nullptr) {
             upstream->on_unreachable(now());
         }
     }
     if (outcome == attempt_outcome::broken) {
-        record_strike(ended, state);
+        if (!at_peer) {
+            record_strike(ended, state);
+        }
         state.verdict_ = combine_verdicts(state.verdict_, verdict::may_have_run);
     }
     const call_id call = ended.call_;
@@ -387,6 +416,9 @@
         reject(state, kind, std::move(detail));
         return;
     }
+    if (state.unsent_attempts_ >= unsent_attempts_before_forwarding && start_at_peer(state)) {
+        return;
+    }
     if (!try_start(state, connection_need::fresh)) {
         wait_for_upstream(state, *service);
     }
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -37,6 +37,13 @@
     call_observer& observer_;
 };
 
+/// Another node of the fleet, which can serve a call in place of this one.
+struct serving_peer {
+    std::string name_;
+    std::string ip_;
+    std::uint16_t port_ = 0; ///< For callers.
+};
+
 /// Schedules calls and their attempts at upstreams for all services of one node. Not thread-safe. A port may
 /// call back into the engine from inside a port function only where the port's header allows it.
 ///
@@ -149,6 +156,10 @@
     /// Called when the number of this node's calls in flight at an upstream has changed.
     std::function<void(const std::string& service, const std::string& upstream)> on_in_flight_changed_;
 
+    /// Returns a node that reaches upstreams, but none of `tried`, or nothing when no such node is known.
+    /// Without this function, calls are not forwarded.
+    std::function<std::optional<serving_peer>(const std::set<std::string>& tried)> choose_peer_;
+
     /// Called when `next_wakeup` may have become earlier, so that the timer can be set again.
     std::function<void()> on_earlier_wakeup_;
 
@@ -165,6 +176,8 @@
         int attempts_made_ = 0;
         std::vector<attempt_id> active_;     ///< Attempts that have not ended.
         std::set<std::string> tried_;        ///< Upstreams of all attempts of this call.
+        std::set<std::string> peers_tried_;  ///< Nodes that the call was forwarded to.
+        int unsent_attempts_ = 0;            ///< Attempts that got no connection to an upstream.
         std::optional<time_point> hedge_at_; ///< When a second attempt may be started.
         std::optional<call_record> relayed_; ///< Set once the head of a response was passed to the caller.
         time_point wake_at_{};               ///< Key of this call in `wakeups_`.
@@ -179,6 +192,8 @@
         duration
             cumulative_work_at_start_{}; ///< `upstream_tracker::cumulative_work` when the attempt started.
         int running_at_start_ = 1; ///< Calls at the upstream when the attempt started, this one included.
+        std::string peer_{};       ///< Node that the call was forwarded to; `upstream_` is empty then.
+        int attempts_before_ = 0;  ///< The call's attempts before it was forwarded.
     };
 
     /// Starts the call's first attempt, or queues the call, or rejects it.
@@ -188,6 +203,12 @@
     /// no upstream has room, or the call should wait instead or leave the slot to others.
     bool try_start(call_state& state, connection_need need);
 
+    /// Forwards the call to another node. Returns false, changing nothing, when that is not possible.
+    bool start_at_peer(call_state& state);
+
+    /// A peer stated that it did not run the call: forwards it to another one or rejects it.
+    void on_refused_by_peer(call_state& state, attempt_id attempt);
+
     /// True when the queue has room for the call and its expected wait is short enough.
     [[nodiscard]] bool may_wait(const call_state& state, const service_state& service) const;
 
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -112,7 +112,8 @@
 
 void call_engine::start_waiting_calls(service_state& service)
 {
-    if (service.queue_.empty() || !service.has_any_room(now())) {
+    const bool may_start = service.has_any_room(now()) || reachability_.cut_off(now());
+    if (service.queue_.empty() || !may_start) {
         return;
     }
     for (const call_id next : service.queue_.in_order(now())) {
@@ -317,7 +318,9 @@
     // An attempt without a response by the deadline counts as a failure of its upstream, whatever load and
     // health the upstream reports.
     for (const auto attempt : state.active_) {
-        reachability_.on_failure(attempts_.at(attempt).upstream_);
+        if (attempts_.at(attempt).peer_.empty()) {
+            reachability_.on_failure(attempts_.at(attempt).upstream_);
+        }
         auto* upstream = service == nullptr ? nullptr : service->find(attempts_.at(attempt).upstream_);
         if (upstream != nullptr) {
             upstream->on_failure(std::max(now() - attempts_.at(attempt).started_, service->failure_penalty()),
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -314,7 +314,8 @@
     for (const auto& [unused, tracker] : upstreams_) {
         slots += tracker->receives_calls() ? usable_slots(*tracker) : 0;
     }
-    return uses_earliest_finish() ? slots / static_cast<double>(position_.nodes_) : slots;
+    const auto serving_nodes = std::max<std::size_t>(1, position_.nodes_ - position_.cut_off_nodes_);
+    return uses_earliest_finish() ? slots / static_cast<double>(serving_nodes) : slots;
 }
 
 duration service_state::expected_queue_wait(std::size_t ahead) const
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -25,8 +25,9 @@
 
 /// Facts about this node's place in the fleet on which the choice of an upstream depends.
 struct fleet_position {
-    std::size_t nodes_ = 1;   ///< Live nodes, this one included.
-    std::string data_centre_; ///< Of this node; empty where it does not matter.
+    std::size_t nodes_ = 1;         ///< Live nodes, this one included.
+    std::string data_centre_;       ///< Of this node; empty where it does not matter.
+    std::size_t cut_off_nodes_ = 0; ///< Live nodes that reach no upstream; always less than `nodes_`.
 };
 
 /// Chooses upstreams for the calls of one service and decides whether a call may start now.
@@ -55,7 +56,7 @@
     [[nodiscard]] bool has_any_room(time_point now) const;
 
     /// Slots of all upstreams; with the earliest-finish picker only this node's share of them, divided
-    /// equally among the live nodes.
+    /// equally among the live nodes that reach upstreams.
     [[nodiscard]] double slots_of_this_node() const;
 
     /// True when at least one upstream outside `tried` receives calls, whether or not it has room now.
--- a/src/core/fleet/duty_assignment.cpp
+++ b/src/core/fleet/duty_assignment.cpp
@@ -13,6 +13,17 @@
 constexpr const char* prober_duty = "probe";
 const std::string sharing_duty = "share ";
 
+/// Leaves out the nodes that reach no upstream, unless none is left then.
+std::vector<const peer*> reaching_upstreams(std::vector<const peer*> nodes)
+{
+    const bool all_cut_off =
+        std::all_of(nodes.begin(), nodes.end(), [](const peer* node) { return node->cut_off_; });
+    if (!all_cut_off) {
+        std::erase_if(nodes, [](const peer* node) { return node->cut_off_; });
+    }
+    return nodes;
+}
+
 } // namespace
 
 void duty_assignment::update(time_point now)
@@ -33,7 +44,7 @@
     store_rank_ =
         leads_ ? static_cast<std::size_t>(own - data_centres_.begin()) : data_centres_.size() + position;
     probers_.clear();
-    const auto order = peers_.ranked(self.data_centre_, prober_duty, now);
+    const auto order = reaching_upstreams(peers_.ranked(self.data_centre_, prober_duty, now));
     const auto count = order.size() <= small_data_centre_nodes ? order.size() : probers_in_large_data_centre;
     for (std::size_t i = 0; i < count; ++i) {
         probers_.push_back(order[i]->name_);
@@ -72,7 +83,7 @@
     if (!peers_.has_local_majority(now)) {
         return 1.0 / static_cast<double>(peers_.known_in_data_centre());
     }
-    const auto order = peers_.ranked(self.data_centre_, sharing_duty + upstream, now);
+    const auto order = reaching_upstreams(peers_.ranked(self.data_centre_, sharing_duty + upstream, now));
     const auto count = std::min(sharers, order.size());
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
     const bool chosen =
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -183,6 +183,7 @@
 void peer_exchange::on_tick()
 {
     const auto now = ports_.clock_.now();
+    detect_cut_off(now);
     if (now >= next_maintenance_) {
         next_maintenance_ = now + maintenance_period;
         peers_.remove_silent(now);
@@ -194,17 +195,51 @@
             std::max<duration>(min_heartbeat_timeout, status_period(local_peer_count) * max_missed_messages));
         duties_.update(now);
         ports_.follower_.set_rank(duties_.store_rank());
-        ports_.engine_.set_fleet_position({peers_.live(now).size() + 1, peers_.self().data_centre_});
+        const auto live = peers_.live(now);
+        const auto cut_off = static_cast<std::size_t>(
+            std::count_if(live.begin(), live.end(), [](const peer* other) { return other->cut_off_; }));
+        ports_.engine_.set_fleet_position({live.size() + 1, peers_.self().data_centre_, cut_off});
         divide_rate_limits(now);
     }
-    // A limited upstream can take its next call when time has passed; nothing else would start one.
-    loads_changed_ = loads_changed_ || !rate_limited_.empty();
+    // A limited upstream can take its next call when time has passed, and another node those of a node that
+    // is cut off; nothing else would start one.
+    loads_changed_ = loads_changed_ || !rate_limited_.empty() || peers_.self().cut_off_;
     apply_loads();
     contact_seeds(now);
     send_to_local_peers(now);
     send_to_leaders(now);
 }
 
+/// Notifies the other nodes at once when this node has lost or regained the upstreams.
+void peer_exchange::detect_cut_off(time_point now)
+{
+    const bool cut_off = ports_.engine_.reachability().cut_off(now);
+    if (cut_off != peers_.self().cut_off_) {
+        peers_.set_self_cut_off(cut_off);
+        early_status_due_ = true;
+        next_maintenance_ = now;
+    }
+}
+
+std::optional<serving_peer> peer_exchange::choose_serving_peer(const std::set<std::string>& tried)
+{
+    auto candidates = peers_.live(ports_.clock_.now());
+    std::erase_if(candidates, [&](const peer* other) {
+        return other->cut_off_ || other->caller_port_ == 0 || tried.contains(other->name_);
+    });
+    auto local = candidates;
+    std::erase_if(local,
+                  [&](const peer* other) { return other->data_centre_ != peers_.self().data_centre_; });
+    if (2 * local.size() >= peers_.known_in_data_centre()) {
+        candidates = std::move(local);
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const auto* chosen = candidates[random_below(ports_.random_, candidates.size())];
+    return serving_peer{chosen->name_, chosen->ip_, chosen->caller_port_};
+}
+
 void peer_exchange::contact_seeds(time_point now)
 {
     if (now < next_seeds_) {
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -81,6 +81,10 @@
     /// Records that a request crashed an upstream, so that the whole fleet counts the strike.
     void record_strike(std::uint64_t fingerprint, const std::string& upstream);
 
+    /// Returns a live node that reaches upstreams and is not in `tried`, or nothing: one of this data centre
+    /// where at least half of its nodes do, else any.
+    std::optional<serving_peer> choose_serving_peer(const std::set<std::string>& tried);
+
     /// Notifies the other nodes of the data centre that this node stops, so that they take over its duties.
     /// A leader notifies the whole fleet.
     void announce_stopping();
@@ -136,6 +140,7 @@
     };
 
     void apply_loads();
+    void detect_cut_off(time_point now);
     void contact_seeds(time_point now);
     void send_to_local_peers(time_point now);
     void send_to_leaders(time_point now);
--- a/src/core/fleet/peer_messages.cpp
+++ b/src/core/fleet/peer_messages.cpp
@@ -31,15 +31,23 @@
 json encode_peer(const peer& node)
 {
     return json::array({node.name_, node.incarnation_, node.data_centre_, node.ip_, node.port_,
-                        node.control_port_, node.capacity_, node.stopping_});
+                        node.control_port_, node.capacity_, node.stopping_, node.caller_port_,
+                        node.cut_off_});
 }
 
 peer decode_peer(const json& value)
 {
-    return {value.at(0).get<std::string>(),   value.at(1).get<std::uint64_t>(),
-            value.at(2).get<std::string>(),   value.at(3).get<std::string>(),
-            value.at(4).get<std::uint16_t>(), value.at(5).get<std::uint16_t>(),
-            value.at(6).get<std::uint32_t>(), value.at(7).get<bool>()};
+    peer node{value.at(0).get<std::string>(),   value.at(1).get<std::uint64_t>(),
+              value.at(2).get<std::string>(),   value.at(3).get<std::string>(),
+              value.at(4).get<std::uint16_t>(), value.at(5).get<std::uint16_t>(),
+              value.at(6).get<std::uint32_t>(), value.at(7).get<bool>()};
+    // Nodes of earlier versions do not send these.
+    constexpr std::size_t fields_with_caller_port = 10;
+    if (value.size() >= fields_with_caller_port) {
+        node.caller_port_ = value.at(8).get<std::uint16_t>();
+        node.cut_off_ = value.at(9).get<bool>();
+    }
+    return node;
 }
 
 packed_bytes pack_loads(const std::vector<upstream_load>& loads)
--- a/src/core/fleet/peer_table.cpp
+++ b/src/core/fleet/peer_table.cpp
@@ -30,9 +30,12 @@
         return;
     }
     const bool stopping = reported.stopping_ || (same_incarnation && known.peer_.stopping_);
+    const bool older = same_incarnation && heartbeat_at < known.last_heartbeat_;
+    const bool cut_off = older ? known.peer_.cut_off_ : reported.cut_off_;
     known.last_heartbeat_ = same_incarnation ? std::max(known.last_heartbeat_, heartbeat_at) : heartbeat_at;
     known.peer_ = reported;
     known.peer_.stopping_ = stopping;
+    known.peer_.cut_off_ = cut_off;
 }
 
 void peer_table::remove_silent(time_point now)
--- a/src/core/fleet/peer_table.h
+++ b/src/core/fleet/peer_table.h
@@ -23,6 +23,8 @@
     std::uint16_t control_port_ = 0; ///< For HTTP between nodes.
     std::uint32_t capacity_ = 1;     ///< Processor quota in thousandths of a core.
     bool stopping_ = false;          ///< Still serves callers, but gives up its duties.
+    std::uint16_t caller_port_ = 0;  ///< For callers; 0 where it is not known.
+    bool cut_off_ = false;           ///< Reaches no upstream; the duties that need one go to others.
 
     bool operator==(const peer&) const = default;
 };
@@ -50,6 +52,7 @@
 
     [[nodiscard]] const peer& self() const { return self_; }
     void set_self_stopping() { self_.stopping_ = true; }
+    void set_self_cut_off(bool cut_off) { self_.cut_off_ = cut_off; }
     void set_local_heartbeat_timeout(duration limit) { settings_.local_heartbeat_timeout_ = limit; }
 
     /// Records a heartbeat of a peer at `heartbeat_at`, received directly or reported by another peer. Of two
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http/http_fetch.h"
 #include "adapters/logging/json_log.h"
 #include "core/fleet/view_messages.h"
+#include "vocabulary/stable_hash.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -28,6 +29,12 @@
 /// the budget while one takes over from the other.
 constexpr double probe_budget_share = 0.45;
 
+/// Upstreams that a node probes while it may be cut off from all of them, and the time between two probes of
+/// each. They must fail together for the node to count as cut off.
+constexpr std::size_t reachability_probe_targets = 4;
+constexpr duration reachability_probe_period = std::chrono::milliseconds(300);
+constexpr duration reachability_probe_period_of_limited = std::chrono::seconds(2);
+
 /// Number of nodes assumed to probe the same upstream when this node is not in contact with the majority of
 /// its data centre.
 constexpr double assumed_probers_without_majority = 20;
@@ -45,6 +52,8 @@
             settings.peers_.port_,
             settings.control_.port_,
             settings.capacity_,
+            false,
+            settings.call_path_.listen_port_,
             false};
 }
 
@@ -101,6 +110,9 @@
     engine.on_in_flight_changed_ = [this](const std::string&, const std::string&) {
         peers_.record_in_flight_change();
     };
+    engine.choose_peer_ = [this](const std::set<std::string>& tried) {
+        return peers_.choose_serving_peer(tried);
+    };
     engine.on_strike_ = [this](std::uint64_t fingerprint, const std::string& upstream) {
         peers_.record_strike(fingerprint, upstream);
     };
@@ -202,9 +214,42 @@
             }
         }
     }
+    add_reachability_probes(targets);
     prober_.set_targets(targets);
 }
 
+/// While this node may be cut off, it probes a few upstreams, different ones than other nodes, to find out
+/// whether any responds.
+void registry_node::add_reachability_probes(std::vector<probe_target>& targets) const
+{
+    const auto& engine = call_path_.engine();
+    if (!engine.reachability().in_doubt() || call_path_.stage() != node_stage::running) {
+        return;
+    }
+    std::map<std::uint64_t, probe_target> by_rank;
+    for (const auto& [service_name, service] : engine.services()) {
+        const auto& policy = service.config().policy_;
+        for (const auto& [name, upstream] : service.upstreams()) {
+            const auto& config = upstream->config();
+            const bool probed = std::any_of(targets.begin(), targets.end(), [&](const probe_target& target) {
+                return target.service_ == service_name && target.upstream_ == name;
+            });
+            if (!probed && upstream->receives_calls() && policy.probes_per_second_ > 0) {
+                const auto period = upstream->limit().active() ? reachability_probe_period_of_limited
+                                                               : reachability_probe_period;
+                by_rank[stable_hash(name, stable_hash(settings_.node_))] = {
+                    service_name, name, config.ip_, config.port_, policy.health_path_, period};
+            }
+        }
+    }
+    for (const auto& [unused, target] : by_rank) {
+        if (targets.size() >= reachability_probe_targets) {
+            return;
+        }
+        targets.push_back(target);
+    }
+}
+
 void registry_node::on_probe_result(const probe_target& target, const probe_result& result)
 {
     auto& engine = call_path_.engine();
@@ -217,9 +262,10 @@
     }
     else {
         engine.reachability().on_failure(target.upstream_);
-    }
-    if (!result.answered_) {
-        peers_.record_unanswered_probe(target.service_, target.upstream_);
+        // What a node that is cut off cannot reach may well be reached by the others.
+        if (!engine.reachability().cut_off(now)) {
+            peers_.record_unanswered_probe(target.service_, target.upstream_);
+        }
         return;
     }
     if (result.load_) {
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -81,6 +81,7 @@
     void on_datagram(const std::string& bytes);
     void on_probe_result(const probe_target& target, const probe_result& result);
     void choose_probe_targets();
+    void add_reachability_probes(std::vector<probe_target>& targets) const;
     void fetch_view(const peer& from, std::uint64_t after_revision);
     void on_fetched_view(const fetch_result& result, time_point requested_at);
     [[nodiscard]] page view_page(const std::string& query) const;
--- a/src/ports/call_observer.h
+++ b/src/ports/call_observer.h
@@ -9,14 +9,16 @@
 namespace anvilpost {
 
 /// Kind of a decision that the call engine took about a call.
-enum class decision_kind { started, waits, extra_attempt, attempt_failed, rejected };
+/// `forwarded`: to another node, whose name is the decision's reason.
+enum class decision_kind { started, waits, extra_attempt, forwarded, attempt_failed, rejected };
 
 template <>
 struct enum_names<decision_kind> {
-    static constexpr std::array<std::pair<decision_kind, std::string_view>, 5> table{{
+    static constexpr std::array<std::pair<decision_kind, std::string_view>, 6> table{{
         {decision_kind::started, "started"},
         {decision_kind::waits, "waits"},
         {decision_kind::extra_attempt, "extra_attempt"},
+        {decision_kind::forwarded, "forwarded"},
         {decision_kind::attempt_failed, "attempt_failed"},
         {decision_kind::rejected, "rejected"},
     }};
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -28,6 +28,7 @@
     int priority_ = 0;       ///< 0 is the most urgent.
     bool is_resend_ = false; ///< The caller was answered before and sends the request again.
     int max_attempts_ = 3;   ///< Number of upstreams that the request may be sent to.
+    bool forwarded_by_peer_ = false; ///< Its caller sent it to another node, which could not serve it.
     time_point arrival_{};
     time_point objective_{}; ///< Latency objective; a response after it counts as late.
     time_point deadline_{};  ///< The response head must have arrived by then.
@@ -40,7 +41,7 @@
     fresh,         ///< A new connection.
 };
 
-/// Instruction to send a call's request to an upstream.
+/// Instruction to send a call's request to an upstream, or to another node that passes it to one.
 struct attempt_order {
     attempt_id attempt_{};
     call_id call_{};
@@ -51,6 +52,8 @@
     connection_need connection_ = connection_need::any;
     int connection_limit_ = 1; ///< Maximum number of connections from this node to the upstream.
     duration time_left_{};     ///< Time until the deadline; forwarded to the upstream.
+    bool to_peer_ = false;     ///< The target is another node of the fleet; `upstream_` is empty.
+    int attempts_left_ = 0;    ///< Attempts that a peer may make.
 };
 
 /// Load that an upstream reported in a response, as of the time of that response.
--- a/testing/support/socket_owner.cpp
+++ b/testing/support/socket_owner.cpp
@@ -1,6 +1,7 @@
 // Reads the kernel's table of TCP sockets and the open files of the process.
 #include "support/socket_owner.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -38,11 +39,8 @@
     return names;
 }
 
-} // namespace
-
-bool owns_tcp_port(pid_t process, std::uint16_t port)
+bool has_open(pid_t process, const std::set<std::string>& wanted)
 {
-    const auto wanted = sockets_at_port(port);
     std::error_code failure;
     const std::filesystem::directory_iterator open_files("/proc/" + std::to_string(process) + "/fd", failure);
     if (failure) {
@@ -56,4 +54,13 @@
     return false;
 }
 
+} // namespace
+
+bool owns_tcp_port(const std::vector<pid_t>& processes, std::uint16_t port)
+{
+    const auto wanted = sockets_at_port(port);
+    return std::any_of(processes.begin(), processes.end(),
+                       [&](pid_t process) { return has_open(process, wanted); });
+}
+
 } // namespace anvilpost::testing
--- a/testing/support/socket_owner.h
+++ b/testing/support/socket_owner.h
@@ -4,10 +4,11 @@
 
 #include <cstdint>
 #include <sys/types.h>
+#include <vector>
 
 namespace anvilpost::testing {
 
-/// True when the process has a TCP socket open whose local port is `port`.
-bool owns_tcp_port(pid_t process, std::uint16_t port);
+/// True when one of the processes has a TCP socket open whose local port is `port`.
+bool owns_tcp_port(const std::vector<pid_t>& processes, std::uint16_t port);
 
 } // namespace anvilpost::testing
--- a/testing/test_deployment/loopback_proxy.cpp
+++ b/testing/test_deployment/loopback_proxy.cpp
@@ -72,6 +72,7 @@
     added.proxy_ = this;
     added.client_port_ = client_port;
     added.blackholed_ = partitioned;
+    added.partitioned_ = partitioned;
     added.client_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     added.server_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     added.to_server_ = {&added, added.client_, added.server_, false, {}};
@@ -122,6 +123,10 @@
 void loopback_proxy::on_stream_end(direction& flow, bool failed)
 {
     auto& conn = *flow.owner_;
+    if (conn.partitioned_) {
+        close(conn, true); // Neither end can notice.
+        return;
+    }
     if (failed && fault_ != link_fault::silent && !conn.blackholed_) {
         close(conn, true);
         return;
@@ -207,6 +212,7 @@
     }
     for (auto* conn : cut) {
         conn->blackholed_ = true;
+        conn->partitioned_ = true;
         if (kind == partition_kind::reset) {
             close(*conn, true);
         }
--- a/testing/test_deployment/loopback_proxy.h
+++ b/testing/test_deployment/loopback_proxy.h
@@ -90,6 +90,7 @@
         direction to_server_;
         direction to_client_;
         bool blackholed_ = false;
+        bool partitioned_ = false; ///< By `set_partition`.
         std::uint16_t client_port_ = 0;
         std::unique_ptr<timer> forward_timer_;
     };
--- a/testing/test_deployment/test_deployment.cpp
+++ b/testing/test_deployment/test_deployment.cpp
@@ -45,6 +45,8 @@
       registration_timer_(loop_, [this] { refresh_registrations(); }),
       stall_timer_(loop_, [this] { check_for_stall(); })
 {
+    // A node may close a connection just as a worker, a caller or a proxy of this process writes to it.
+    std::signal(SIGPIPE, SIG_IGN);
     std::filesystem::create_directories(settings_.folder_);
     routes_ = {{"pages", "/pages/", "desk", true, 1500ms},
                {"orders", "/orders/", "desk", false, 1500ms},
@@ -297,8 +299,7 @@
     partition_rule partitioned;
     if (!processes.empty()) {
         partitioned = [processes](std::uint16_t client_port) {
-            return std::any_of(processes.begin(), processes.end(),
-                               [&](pid_t process) { return owns_tcp_port(process, client_port); });
+            return owns_tcp_port(processes, client_port);
         };
     }
     for (auto& record : workers_) {
--- a/tests/core/called_fleet.h
+++ b/tests/core/called_fleet.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilpost::testing {
@@ -43,6 +44,8 @@
             net_.run(peer_exchange::tick_period);
             collect_orders();
             end_attempts();
+            return_forwarded_calls();
+            probe_upstreams();
             for (auto& node : net_.nodes_) {
                 node->engine_.on_wakeup();
             }
@@ -98,34 +101,102 @@
         bool fails_ = false;
     };
 
-    void send_call()
+    /// A call that one node forwarded to another.
+    struct forwarded_call {
+        exchange_node* from_ = nullptr;
+        attempt_id attempt_{};
+        exchange_node* to_ = nullptr;
+        call_id id_{}; ///< At the other node.
+    };
+
+    call make_call(bool repeatable)
     {
-        auto& node = *net_.nodes_[next_call_ % net_.nodes_.size()];
         call request;
         request.id_ = call_id{next_call_++};
         request.service_ = "log";
         request.route_ = "log";
-        request.repeatable_ = next_call_ % 3 != 0;
+        request.repeatable_ = repeatable;
         request.fingerprint_ = static_cast<std::uint64_t>(request.id_);
         request.arrival_ = net_.clock_.now();
         request.objective_ = request.arrival_ + 250ms;
         request.deadline_ = request.arrival_ + 1s;
+        return request;
+    }
+
+    void send_call()
+    {
+        auto& node = *net_.nodes_[next_call_ % net_.nodes_.size()];
         ++sent_[node.exchange_.peers().self().name_];
-        node.engine_.on_call(request);
+        node.engine_.on_call(make_call(next_call_ % 3 != 0));
+    }
+
+    void forward_call(exchange_node& from, const attempt_order& order)
+    {
+        for (auto& node : net_.nodes_) {
+            if (node->ip_ == order.ip_) {
+                auto request = make_call(order.connection_ == connection_need::any);
+                request.deadline_ = net_.clock_.now() + order.time_left_;
+                request.forwarded_by_peer_ = true;
+                request.max_attempts_ = order.attempts_left_;
+                forwarded_.push_back({&from, order.attempt_, node.get(), request.id_});
+                node->engine_.on_call(request);
+            }
+        }
+    }
+
+    /// Passes the responses of peers on to the nodes that forwarded the calls.
+    void return_forwarded_calls()
+    {
+        std::erase_if(forwarded_, [&](const forwarded_call& open) {
+            const auto& callers = open.to_->callers_;
+            const auto rejected = callers.rejected_.find(open.id_);
+            if (rejected == callers.rejected_.end() && !callers.relayed_.contains(open.id_)) {
+                return false;
+            }
+            response_head head;
+            head.status_ = rejected == callers.rejected_.end() ? 200 : status_of(rejected->second.kind_);
+            head.not_run_ =
+                rejected != callers.rejected_.end() && rejected->second.verdict_ == verdict::not_run;
+            deliver_response(*open.from_, open.attempt_, head);
+            return true;
+        });
+    }
+
+    void deliver_response(exchange_node& to, attempt_id attempt, const response_head& head)
+    {
+        const auto served_before = to.callers_.relayed_.size();
+        to.engine_.on_response_started(attempt, head);
+        served_[to.exchange_.peers().self().name_] += to.callers_.relayed_.size() - served_before;
+        to.engine_.on_attempt_ended(attempt, attempt_outcome::complete);
+    }
+
+    /// Stands for the probes that a node sends while it may be cut off.
+    void probe_upstreams()
+    {
+        for (auto& node : net_.nodes_) {
+            auto& reachability = node->engine_.reachability();
+            if (reachability.in_doubt() && !cut_off_.contains(node->exchange_.peers().self().name_)) {
+                reachability.on_contact(net_.clock_.now());
+            }
+        }
     }
 
     void collect_orders()
     {
         for (auto& node : net_.nodes_) {
             const bool fails = cut_off_.contains(node->exchange_.peers().self().name_);
-            for (const auto& order : node->upstreams_.started_) {
+            const auto orders = std::exchange(node->upstreams_.started_, {});
+            for (const auto& order : orders) {
+                if (order.to_peer_) {
+                    forward_call(*node, order);
+                    continue;
+                }
                 running_.push_back(
                     {node.get(), order, net_.clock_.now() + (fails ? connect_timeout : service_time), fails});
                 if (order.upstream_ == "u1") {
                     starts_at_u1_.push_back(net_.clock_.now());
                 }
             }
-            node->upstreams_.started_.clear();
         }
     }
 
@@ -156,16 +227,13 @@
         if (done.order_.upstream_ == "u1") {
             head.rate_limit_ = limit_;
         }
-        const auto served_before = done.node_->callers_.relayed_.size();
-        engine.on_response_started(done.order_.attempt_, head);
-        served_[done.node_->exchange_.peers().self().name_] +=
-            done.node_->callers_.relayed_.size() - served_before;
-        engine.on_attempt_ended(done.order_.attempt_, attempt_outcome::complete);
+        deliver_response(*done.node_, done.order_.attempt_, head);
     }
 
     std::optional<double> limit_;
     std::set<std::string> cut_off_;
     std::vector<running_attempt> running_;
+    std::vector<forwarded_call> forwarded_;
     std::vector<time_point> starts_at_u1_;
     std::map<std::string, std::size_t> sent_; ///< By node, as is `served_`.
     std::map<std::string, std::size_t> served_;
