--- a/src/adapters/http/health_prober.cpp
+++ b/src/adapters/http/health_prober.cpp
@@ -70,6 +70,7 @@
 {
     const auto& target = next.target_;
     if (next.stream_ == nullptr) {
+        next.answered_before_ = false;
         next.stream_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(
             next.stream_,
@@ -139,7 +140,8 @@
         from.reader_ = std::make_unique<message_reader>(message_side::response, max_response_head_bytes);
     }
     const auto& head = from.reader_->head();
-    probe_result result{true, head.status_ == http_ok, std::nullopt};
+    probe_result result{true, head.status_ == http_ok, !from.answered_before_, std::nullopt};
+    from.answered_before_ = true;
     if (const auto report = find_header(head.headers_, names_.load_)) {
         result.load_ = names_.parse_load_(*report);
     }
--- a/src/adapters/http/health_prober.h
+++ b/src/adapters/http/health_prober.h
@@ -31,6 +31,7 @@
 struct probe_result {
     bool answered_ = false;
     bool healthy_ = false;
+    bool on_new_connection_ = false; ///< It was the first probe on its connection.
     std::optional<load_report> load_;
 };
 
@@ -62,6 +63,7 @@
         std::unique_ptr<timer> timer_{};
         time_point started_{};
         bool in_flight_ = false;
+        bool answered_before_ = false; ///< On this connection.
     };
 
     void start(probe& next);
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -154,6 +154,7 @@
     current.request_id_ = request->request_id_;
     current.head_request_ = request->method_ == "HEAD";
     current.connection_ = take_connection(order);
+    current.on_new_connection_ = current.connection_->last_used_ == time_point{};
     current.connection_->bytes_written_ = 0;
     current.connection_->attempt_ = order.attempt_;
     current.reader_ = std::make_unique<message_reader>(message_side::response, limits_.max_header_bytes_,
@@ -374,9 +375,10 @@
     const attempt_id id = current.order_.attempt_;
     if (!current.forwarding_started_) {
         current.forwarding_started_ = true;
-        const auto& head = current.reader_->head();
-        engine_->on_response_started(id, current.order_.to_peer_ ? peer_response_head(head)
-                                                                 : to_response_head(head));
+        const auto& message = current.reader_->head();
+        auto head = current.order_.to_peer_ ? peer_response_head(message) : to_response_head(message);
+        head.on_new_connection_ = current.on_new_connection_;
+        engine_->on_response_started(id, head);
         if (find(id) == nullptr) {
             return; // The engine chose another attempt and cancelled this one.
         }
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -104,6 +104,7 @@
         std::unique_ptr<message_reader> reader_;
         std::unique_ptr<timer> hold_timer_;
         bool head_request_ = false;
+        bool on_new_connection_ = false;
         bool forwarding_started_ = false; ///< The engine was told of the response; the body is forwarded.
         bool complete_ = false;
         bool paused_ = false;
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -149,7 +149,7 @@
     if (service == nullptr) {
         return false;
     }
-    if (reachability_.cut_off(now()) && start_at_peer(state)) {
+    if (reachability_.cannot_connect(now()) && start_at_peer(state)) {
         return true;
     }
     auto* upstream = service->choose(state.call_, state.tried_, ports_.random_, now());
@@ -245,7 +245,7 @@
     const attempt_state answered = found->second;
     auto& state = calls_.at(answered.call_);
     if (answered.peer_.empty()) {
-        reachability_.on_contact(now());
+        reachability_.on_response(head.on_new_connection_);
     }
     else if (head.not_run_) {
         on_refused_by_peer(state, attempt);
@@ -346,7 +346,7 @@
     auto* upstream = service == nullptr ? nullptr : service->find(ended.upstream_);
     const bool at_peer = !ended.peer_.empty();
     if (!at_peer && (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::broken)) {
-        reachability_.on_failure(ended.upstream_);
+        reachability_.on_failure(ended.upstream_, now());
     }
     if (upstream != nullptr && outcome != attempt_outcome::complete) {
         upstream->on_failure(std::max(now() - ended.started_, service->failure_penalty()), now());
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -319,7 +319,7 @@
     // health the upstream reports.
     for (const auto attempt : state.active_) {
         if (attempts_.at(attempt).peer_.empty()) {
-            reachability_.on_failure(attempts_.at(attempt).upstream_);
+            reachability_.on_failure(attempts_.at(attempt).upstream_, now());
         }
         auto* upstream = service == nullptr ? nullptr : service->find(attempts_.at(attempt).upstream_);
         if (upstream != nullptr) {
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -178,7 +178,10 @@
     if (registry_.drop_lapsed()) {
         apply_effective_configuration();
     }
-    if (clock_.now() >= next_probe_choice_) {
+    const bool in_doubt = call_path_.engine().reachability().in_doubt();
+    const bool doubt_begins = in_doubt && !in_doubt_;
+    in_doubt_ = in_doubt;
+    if (clock_.now() >= next_probe_choice_ || doubt_begins) {
         next_probe_choice_ = clock_.now() + probe_choice_period;
         choose_probe_targets();
     }
@@ -258,10 +261,10 @@
     probes_of_limited_upstreams_ += upstream != nullptr && upstream->limit().active() ? 1 : 0;
     engine.on_probe(target.service_, target.upstream_, result.answered_, result.healthy_, now);
     if (result.answered_) {
-        engine.reachability().on_contact(now);
+        engine.reachability().on_response(result.on_new_connection_);
     }
     else {
-        engine.reachability().on_failure(target.upstream_);
+        engine.reachability().on_failure(target.upstream_, now);
         // What a node that is cut off cannot reach may well be reached by the others.
         if (!engine.reachability().cut_off(now)) {
             peers_.record_unanswered_probe(target.service_, target.upstream_);
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -68,8 +68,9 @@
     int status_ = 0;
     bool upstream_is_leaving_ = false; ///< The upstream is about to stop and wants no new requests.
     std::optional<load_report> load_;
-    bool not_run_ = false;     ///< The upstream states that it did not run the request.
-    bool misdirected_ = false; ///< A different instance answered at the upstream's address.
+    bool not_run_ = false;           ///< The upstream states that it did not run the request.
+    bool misdirected_ = false;       ///< A different instance answered at the upstream's address.
+    bool on_new_connection_ = false; ///< The connection was opened for this attempt.
     /// Requests per second that the upstream accepts from all nodes together; empty: it names no limit.
     std::optional<double> rate_limit_{};
 };
--- a/testing/support/socket_owner.cpp
+++ b/testing/support/socket_owner.cpp
@@ -1,66 +1,91 @@
-// Reads the kernel's table of TCP sockets and the open files of the process.
+// Asks the kernel for the socket at the other end (sock_diag(7)) and looks for it in the open files of the
+// processes. Cheaper than reading the table of all sockets, which grows with the connections of other tests.
 #include "support/socket_owner.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
 #include <filesystem>
-#include <fstream>
-#include <set>
-#include <sstream>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace anvilpost::testing {
 namespace {
 
-/// Returns the names, as links in /proc/PID/fd show them, of the sockets that are bound to the local port.
-std::set<std::string> sockets_at_port(std::uint16_t port)
+struct diag_request {
+    nlmsghdr header_;
+    inet_diag_req_v2 body_;
+};
+
+/// Returns the inode of the local TCP socket with these addresses; 0 when there is none any more.
+std::uint32_t inode_of(const sockaddr_in& own, const sockaddr_in& peer)
 {
-    std::set<std::string> names;
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    std::getline(table, line); // The heading.
-    while (std::getline(table, line)) {
-        std::istringstream fields(line);
-        std::string number;
-        std::string local;
-        std::string skipped;
-        std::string inode;
-        fields >> number >> local;
-        constexpr int fields_before_inode = 7;
-        for (int i = 0; i < fields_before_inode; ++i) {
-            fields >> skipped;
-        }
-        fields >> inode;
-        constexpr int hexadecimal = 16;
-        const auto colon = local.find(':');
-        if (colon != std::string::npos && std::stoi(local.substr(colon + 1), nullptr, hexadecimal) == port) {
-            names.insert("socket:[" + inode + "]");
+    const int kernel = socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+    if (kernel < 0) {
+        return 0;
+    }
+    diag_request request{};
+    request.header_.nlmsg_len = sizeof request;
+    request.header_.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    request.header_.nlmsg_flags = NLM_F_REQUEST;
+    request.body_.sdiag_family = AF_INET;
+    request.body_.sdiag_protocol = IPPROTO_TCP;
+    request.body_.idiag_states = ~0U;
+    request.body_.id.idiag_sport = own.sin_port;
+    request.body_.id.idiag_dport = peer.sin_port;
+    request.body_.id.idiag_src[0] = own.sin_addr.s_addr;
+    request.body_.id.idiag_dst[0] = peer.sin_addr.s_addr;
+    request.body_.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    request.body_.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    constexpr std::size_t reply_bytes = 4096;
+    alignas(nlmsghdr) std::array<char, reply_bytes> reply{};
+    std::uint32_t inode = 0;
+    if (send(kernel, &request, sizeof request, 0) == static_cast<ssize_t>(sizeof request) &&
+        recv(kernel, reply.data(), reply.size(), 0) >=
+            static_cast<ssize_t>(NLMSG_LENGTH(sizeof(inet_diag_msg)))) {
+        const auto* header = reinterpret_cast<const nlmsghdr*>(reply.data());
+        if (header->nlmsg_type == SOCK_DIAG_BY_FAMILY) {
+            inode = static_cast<const inet_diag_msg*>(NLMSG_DATA(header))->idiag_inode;
         }
     }
-    return names;
+    close(kernel);
+    return inode;
 }
 
-bool has_open(pid_t process, const std::set<std::string>& wanted)
+bool has_open(pid_t process, const std::string& file)
 {
     std::error_code failure;
     const std::filesystem::directory_iterator open_files("/proc/" + std::to_string(process) + "/fd", failure);
     if (failure) {
         return false; // The process has ended.
     }
-    for (const auto& entry : open_files) {
-        if (wanted.contains(std::filesystem::read_symlink(entry.path(), failure).string())) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(begin(open_files), end(open_files), [&](const auto& entry) {
+        std::error_code closed;
+        return std::filesystem::read_symlink(entry.path(), closed).string() == file;
+    });
 }
 
 } // namespace
 
-bool owns_tcp_port(const std::vector<pid_t>& processes, std::uint16_t port)
+bool is_connected_to(int accepted, const std::vector<pid_t>& processes)
 {
-    const auto wanted = sockets_at_port(port);
-    return std::any_of(processes.begin(), processes.end(),
-                       [&](pid_t process) { return has_open(process, wanted); });
+    sockaddr_in own{};
+    sockaddr_in peer{};
+    socklen_t own_length = sizeof own;
+    socklen_t peer_length = sizeof peer;
+    if (getsockname(accepted, reinterpret_cast<sockaddr*>(&own), &own_length) != 0 ||
+        getpeername(accepted, reinterpret_cast<sockaddr*>(&peer), &peer_length) != 0) {
+        return false;
+    }
+    const auto inode = inode_of(peer, own);
+    const std::string file = "socket:[" + std::to_string(inode) + "]";
+    return inode != 0 && std::any_of(processes.begin(), processes.end(),
+                                     [&](pid_t process) { return has_open(process, file); });
 }
 
 } // namespace anvilpost::testing
--- a/testing/support/socket_owner.h
+++ b/testing/support/socket_owner.h
@@ -2,13 +2,12 @@
 // differently although all nodes connect from the same address.
 #pragma once
 
-#include <cstdint>
 #include <sys/types.h>
 #include <vector>
 
 namespace anvilpost::testing {
 
-/// True when one of the processes has a TCP socket open whose local port is `port`.
-bool owns_tcp_port(const std::vector<pid_t>& processes, std::uint16_t port);
+/// True when the other end of the accepted TCP connection `accepted` is a socket of one of the processes.
+bool is_connected_to(int accepted, const std::vector<pid_t>& processes);
 
 } // namespace anvilpost::testing
--- a/testing/test_deployment/loopback_proxy.cpp
+++ b/testing/test_deployment/loopback_proxy.cpp
@@ -4,7 +4,6 @@
 #include "adapters/http/http_fetch.h"
 
 #include <algorithm>
-#include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <vector>
@@ -20,14 +19,6 @@
     setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
 }
 
-std::uint16_t peer_port(evutil_socket_t fd)
-{
-    sockaddr_in address{};
-    socklen_t length = sizeof address;
-    const int failed = getpeername(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    return failed != 0 ? 0 : ntohs(address.sin_port);
-}
-
 } // namespace
 
 loopback_proxy::loopback_proxy(event_loop& loop, const loopback_address& listen,
@@ -59,8 +50,7 @@
 
 void loopback_proxy::accept(evutil_socket_t fd)
 {
-    const auto client_port = peer_port(fd);
-    const bool partitioned = partitioned_ && partitioned_(client_port);
+    const bool partitioned = partitioned_ && partitioned_(fd);
     if (fault_ == link_fault::refused || (partitioned && partition_kind_ != partition_kind::silent)) {
         const linger without_delay{1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
@@ -70,7 +60,6 @@
     connections_.push_back(std::make_unique<connection>());
     auto& added = *connections_.back();
     added.proxy_ = this;
-    added.client_port_ = client_port;
     added.blackholed_ = partitioned;
     added.partitioned_ = partitioned;
     added.client_ = bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
@@ -206,7 +195,7 @@
     }
     std::vector<connection*> cut;
     for (auto& conn : connections_) {
-        if (partitioned_(conn->client_port_)) {
+        if (partitioned_(bufferevent_getfd(conn->client_))) {
             cut.push_back(conn.get());
         }
     }
--- a/testing/test_deployment/loopback_proxy.h
+++ b/testing/test_deployment/loopback_proxy.h
@@ -31,8 +31,8 @@
     new_refused ///< Open connections work; new ones are reset.
 };
 
-/// Tells by the local port of a client's connection whether the client is partitioned from the server.
-using partition_rule = std::function<bool(std::uint16_t client_port)>;
+/// Tells whether the client at the other end of an accepted connection is partitioned from the server.
+using partition_rule = std::function<bool(evutil_socket_t accepted)>;
 
 struct loopback_address {
     std::string ip_;
@@ -91,7 +91,6 @@
         direction to_client_;
         bool blackholed_ = false;
         bool partitioned_ = false; ///< By `set_partition`.
-        std::uint16_t client_port_ = 0;
         std::unique_ptr<timer> forward_timer_;
     };
 
--- a/testing/test_deployment/test_deployment.cpp
+++ b/testing/test_deployment/test_deployment.cpp
@@ -298,9 +298,7 @@
     }
     partition_rule partitioned;
     if (!processes.empty()) {
-        partitioned = [processes](std::uint16_t client_port) {
-            return owns_tcp_port(processes, client_port);
-        };
+        partitioned = [processes](evutil_socket_t accepted) { return is_connected_to(accepted, processes); };
     }
     for (auto& record : workers_) {
         record.proxy_->set_partition(partitioned, kind);
--- a/tests/core/called_fleet.h
+++ b/tests/core/called_fleet.h
@@ -176,7 +176,7 @@
         for (auto& node : net_.nodes_) {
             auto& reachability = node->engine_.reachability();
             if (reachability.in_doubt() && !cut_off_.contains(node->exchange_.peers().self().name_)) {
-                reachability.on_contact(net_.clock_.now());
+                reachability.on_response(true);
             }
         }
     }
--- a/tests/core/cut_off_test.cpp
+++ b/tests/core/cut_off_test.cpp
@@ -11,22 +11,36 @@
     const time_point start{1h};
     upstream_reachability reachability;
     reachability.set_upstream_count(10);
-    reachability.on_contact(start);
-    reachability.on_failure("u1");
-    reachability.on_failure("u1");
-    reachability.on_failure("u2");
+    reachability.on_response(true);
+    for (const std::string upstream : {"u1", "u1", "u2"}) {
+        reachability.on_failure(upstream, start);
+    }
     CHECK_FALSE(reachability.cut_off(start + 1s));
-    reachability.on_failure("u3");
-    CHECK_FALSE(reachability.cut_off(start + 100ms));
+    reachability.on_failure("u3", start + 1s);
     CHECK(reachability.cut_off(start + 1s));
-    reachability.on_contact(start + 1s);
+    reachability.on_response(false);
+    CHECK_FALSE(reachability.cut_off(start + 2s));
+    reachability.on_failure("u4", start + 2s);
+    CHECK_FALSE(reachability.cannot_connect(start + 2s));
+    reachability.on_failure("u5", start + 2s);
+    CHECK(reachability.cannot_connect(start + 2s)); // Connections that were open before still work.
     CHECK_FALSE(reachability.cut_off(start + 2s));
+    reachability.on_response(true);
+    CHECK_FALSE(reachability.in_doubt());
+    CHECK_FALSE(reachability.cannot_connect(start + 9s));
+}
+
+TEST_CASE(
+    "a node waits for its probes before it believes that it is cut off, and counts the upstreams it knows")
+{
+    const time_point start{1h};
+    upstream_reachability reachability;
     reachability.set_upstream_count(1);
-    reachability.on_failure("u1");
-    CHECK(reachability.cut_off(start + 2s));
-    reachability.set_upstream_count(0);
-    reachability.on_contact(start + 2s);
-    CHECK_FALSE(reachability.cut_off(start + 9s));
+    CHECK_FALSE(reachability.cut_off(start));
+    reachability.on_failure("u1", start);
+    CHECK(reachability.in_doubt());
+    CHECK_FALSE(reachability.cut_off(start + 100ms));
+    CHECK(reachability.cut_off(start + 200ms));
 }
 
 TEST_CASE("callers of nodes that are cut off from all upstreams are served as well as those of other nodes")
