--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -357,8 +357,8 @@
 {
     response_head converted;
     converted.status_ = head.status_;
-    converted.upstream_is_leaving_ =
-        !names_.leaving_.empty() && find_header(head.headers_, names_.leaving_).has_value();
+    const auto leaving = names_.leaving_.empty() ? std::nullopt : find_header(head.headers_, names_.leaving_);
+    converted.upstream_is_leaving_ = leaving && *leaving != "0";
     converted.misdirected_ = !names_.expected_instance_.empty() && head.status_ == names_.misdirected_status_;
     converted.not_run_ = converted.misdirected_ || (!names_.not_run_.empty() &&
                                                     find_header(head.headers_, names_.not_run_).has_value());
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -2,6 +2,8 @@
 // follower and the call engine.
 #include "core/fleet/peer_exchange.h"
 
+#include "vocabulary/stable_hash.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <limits>
@@ -56,6 +58,13 @@
 /// new strike, and nodes would send it to each other for ever.
 constexpr duration strike_retention_time = 10s;
 
+/// That an upstream leaves is repeated in messages for this long after a node learnt it; long enough for
+/// nodes that start meanwhile or lose messages.
+constexpr duration leaving_propagation_time = 10s;
+
+/// Maximum number of leaving upstreams in one message, those learnt last first.
+constexpr std::size_t max_leaving_per_message = 32;
+
 /// The end of an upstream's rate limit is repeated in messages for this long. A limit itself is repeated
 /// while it lasts.
 constexpr duration ended_limit_propagation_time = 10s;
@@ -100,7 +109,8 @@
     for (const auto& [service, config] : effective.services_) {
         for (const auto& [name, upstream] : config.upstreams_) {
             const auto [entry, added] = upstreams_.try_emplace(
-                upstream_key(service, name), known_upstream{service, name, upstream.data_centre_, false});
+                upstream_key(service, name), known_upstream{service, name, upstream.data_centre_,
+                                                            stable_hash(upstream.incarnation_), false});
             entry->second.ambiguous_ = entry->second.ambiguous_ || !added;
         }
     }
@@ -187,6 +197,8 @@
     if (now >= next_maintenance_) {
         next_maintenance_ = now + maintenance_period;
         peers_.remove_silent(now);
+        std::erase_if(leaving_,
+                      [&](const auto& item) { return now - item.second > leaving_propagation_time; });
         std::erase_if(strikes_, [&](const auto& item) {
             return now - item.second.recorded_at_ > strike_retention_time;
         });
@@ -353,6 +365,7 @@
         add_call_counts(message);
         add_strikes(message, recipients::local_peers, now);
         add_rate_limits(message, now);
+        add_leaving(message);
         add_echoes(message, now);
         for (const auto& known : peers_.sample(peers_per_message, ports_.random_, now)) {
             message.peers_.push_back({*known.peer_, known.age_});
@@ -385,6 +398,7 @@
         add_local_loads(message, now);
         add_strikes(message, recipients::leaders, now);
         add_rate_limits(message, now);
+        add_leaving(message);
         if (const auto last = last_messages_.find(leader->name_); last != last_messages_.end()) {
             message.echoes_.push_back(
                 {last->second.identity_, last->second.sequences_.highest(), now - last->second.received_});
@@ -465,6 +479,7 @@
     handle_strikes(*message, now);
     handle_loads(*message, now);
     handle_rate_limits(*message, now);
+    handle_leaving(*message, now);
     if (message->has_call_counts_) {
         handle_call_counts(*message, last, is_newest);
     }
@@ -592,6 +607,50 @@
     }
 }
 
+void peer_exchange::record_leaving(const std::string& service, const std::string& upstream)
+{
+    const auto key = upstream_key(service, upstream);
+    if (const auto* known = find_upstream(key)) {
+        leaving_.try_emplace({key, known->incarnation_}, ports_.clock_.now());
+        early_status_due_ = true;
+    }
+}
+
+void peer_exchange::add_leaving(peer_message& message) const
+{
+    std::vector<std::pair<time_point, upstream_leaving>> by_time;
+    for (const auto& [notice, learnt_at] : leaving_) {
+        by_time.push_back({learnt_at, {notice.first, notice.second}});
+    }
+    const auto count = std::min(max_leaving_per_message, by_time.size());
+    std::partial_sort(by_time.begin(), by_time.begin() + static_cast<std::ptrdiff_t>(count), by_time.end(),
+                      [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (std::size_t i = 0; i < count; ++i) {
+        message.leaving_.push_back(by_time[i].second);
+    }
+}
+
+/// Notices are passed on by each node that did not know them: datagrams get lost, and an upstream that leaves
+/// must not get new calls from any node.
+void peer_exchange::handle_leaving(const peer_message& message, time_point now)
+{
+    for (const auto& notice : message.leaving_) {
+        const auto* upstream = find_upstream(notice.upstream_);
+        if (upstream == nullptr || upstream->incarnation_ != notice.incarnation_) {
+            continue;
+        }
+        const auto* tracker = ports_.engine_.find_upstream(upstream->service_, upstream->name_);
+        if (tracker == nullptr || tracker->leaving()) {
+            continue;
+        }
+        leaving_.try_emplace({notice.upstream_, notice.incarnation_}, now);
+        ports_.engine_.on_upstream_leaving(upstream->service_, upstream->name_, leaving_source::peer);
+        if (on_peer_leaving_) {
+            on_peer_leaving_(upstream->service_, upstream->name_);
+        }
+    }
+}
+
 /// The ended calls of a message are counted whenever it arrives. Its calls in flight hold only until a newer
 /// message tells them, so those of a late message are ignored.
 void peer_exchange::handle_call_counts(const peer_message& message, last_message& last, bool is_newest)
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -81,6 +81,13 @@
     /// Records that a request crashed an upstream, so that the whole fleet counts the strike.
     void record_strike(std::uint64_t fingerprint, const std::string& upstream);
 
+    /// Records that an upstream said in a response to this node that it leaves, so that the others hear it.
+    void record_leaving(const std::string& service, const std::string& upstream);
+
+    /// Called when another node reports that the known incarnation of an upstream said that it leaves. Must
+    /// not change the configuration before it returns.
+    std::function<void(const std::string& service, const std::string& upstream)> on_peer_leaving_;
+
     /// Returns a live node that reaches upstreams and is not in `tried`, or nothing: one of this data centre
     /// where at least half of its nodes do, else any.
     std::optional<serving_peer> choose_serving_peer(const std::set<std::string>& tried);
@@ -103,7 +110,8 @@
         std::string service_;
         std::string name_;
         std::string data_centre_;
-        bool ambiguous_ = false; ///< Another upstream has the same key.
+        std::uint64_t incarnation_ = 0; ///< Hash of it.
+        bool ambiguous_ = false;        ///< Another upstream has the same key.
     };
 
     /// The latest load of an upstream.
@@ -158,6 +166,8 @@
     void handle_rate_limits(const peer_message& message, time_point now);
     void divide_rate_limits(time_point now);
     void add_rate_limits(peer_message& message, time_point now) const;
+    void handle_leaving(const peer_message& message, time_point now);
+    void add_leaving(peer_message& message) const;
     void handle_call_counts(const peer_message& message, last_message& last, bool is_newest);
     void update_load(std::uint32_t key, upstream_load load, time_point measured_at);
     [[nodiscard]] const known_upstream* find_upstream(std::uint32_t key) const;
@@ -172,6 +182,8 @@
     std::map<std::string, last_message> last_messages_;        ///< By peer name.
     std::map<std::uint32_t, reported_counts> reported_counts_; ///< By upstream key.
     std::map<request_strike, strike_propagation> strikes_;
+    /// Upstreams that said that they leave, by key and incarnation, and when this node learnt it.
+    std::map<std::pair<std::uint32_t, std::uint64_t>, time_point> leaving_;
     /// Upstreams that name a rate limit, or whose limit ended a short time ago.
     std::vector<std::uint32_t> rate_limited_;
     std::uint64_t sequence_ = 0;
--- a/src/core/fleet/peer_messages.cpp
+++ b/src/core/fleet/peer_messages.cpp
@@ -165,6 +165,27 @@
     return limits;
 }
 
+packed_bytes pack_leaving(const std::vector<upstream_leaving>& leaving)
+{
+    record_writer writer;
+    for (const auto& notice : leaving) {
+        writer.add(notice.upstream_);
+        writer.add(notice.incarnation_);
+    }
+    return writer.take();
+}
+
+std::vector<upstream_leaving> unpack_leaving(const packed_bytes& bytes)
+{
+    std::vector<upstream_leaving> leaving;
+    for (record_reader reader(bytes); !reader.at_end();) {
+        auto& notice = leaving.emplace_back();
+        notice.upstream_ = reader.next<std::uint32_t>();
+        notice.incarnation_ = reader.next<std::uint64_t>();
+    }
+    return leaving;
+}
+
 /// Returns the bytes of a field, or an empty list where the field is missing.
 packed_bytes bytes_of(const json& document, const char* field)
 {
@@ -193,6 +214,7 @@
         message.strikes_.push_back({value.at(0).get<std::uint64_t>(), value.at(1).get<std::string>()});
     }
     message.rate_limits_ = unpack_rate_limits(bytes_of(document, "limits"));
+    message.leaving_ = unpack_leaving(bytes_of(document, "leaving"));
     return message;
 }
 
@@ -233,6 +255,9 @@
     if (!message.rate_limits_.empty()) {
         document["limits"] = json::binary(pack_rate_limits(message.rate_limits_));
     }
+    if (!message.leaving_.empty()) {
+        document["leaving"] = json::binary(pack_leaving(message.leaving_));
+    }
     const auto bytes = json::to_cbor(document);
     return {bytes.begin(), bytes.end()};
 }
--- a/src/core/fleet/peer_messages.h
+++ b/src/core/fleet/peer_messages.h
@@ -47,6 +47,12 @@
     duration age_{};                   ///< Since a node learnt of it from a response.
 };
 
+/// An upstream said in a response that it leaves.
+struct upstream_leaving {
+    std::uint32_t upstream_ = 0;    ///< See `upstream_key`.
+    std::uint64_t incarnation_ = 0; ///< Hash of the incarnation that said so; another one is not concerned.
+};
+
 /// The sender's own calls to an upstream.
 struct upstream_call_counts {
     std::uint32_t upstream_ = 0;
@@ -81,6 +87,7 @@
     std::vector<upstream_call_counts> call_counts_;
     std::vector<request_strike> strikes_;
     std::vector<upstream_rate_limit> rate_limits_;
+    std::vector<upstream_leaving> leaving_;
 };
 
 /// Hash that stands for an upstream in messages. Receivers ignore data about upstreams whose keys collide.
--- a/src/core/upstreams/upstream_registry.cpp
+++ b/src/core/upstreams/upstream_registry.cpp
@@ -104,6 +104,17 @@
     return true;
 }
 
+bool upstream_registry::mark_leaving(const std::string& name)
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end() || found->second.upstream_.config_.state_ == upstream_state::leaving) {
+        return false;
+    }
+    found->second.upstream_.config_.state_ = upstream_state::leaving;
+    report_event(kind::leaving, name, 0, "by its own response");
+    return true;
+}
+
 bool upstream_registry::remove(const std::string& name, std::uint64_t revision)
 {
     const auto found = entries_.find(name);
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -113,6 +113,13 @@
     engine.choose_peer_ = [this](const std::set<std::string>& tried) {
         return peers_.choose_serving_peer(tried);
     };
+    engine.on_leaving_ = [this](const std::string& service, const std::string& upstream) {
+        peers_.record_leaving(service, upstream);
+        mark_leaving_later(upstream);
+    };
+    peers_.on_peer_leaving_ = [this](const std::string&, const std::string& upstream) {
+        mark_leaving_later(upstream);
+    };
     engine.on_strike_ = [this](std::uint64_t fingerprint, const std::string& upstream) {
         peers_.record_strike(fingerprint, upstream);
     };
@@ -329,6 +336,17 @@
     }
 }
 
+/// The engine and the exchange have stopped using the upstream already. The registry remembers it beyond this
+/// incarnation's entry; it is told later, since the engine must not get a configuration inside its events.
+void registry_node::mark_leaving_later(const std::string& upstream)
+{
+    loop_.defer([this, upstream] {
+        if (registry_.mark_leaving(upstream)) {
+            apply_effective_configuration();
+        }
+    });
+}
+
 void registry_node::apply_effective_configuration()
 {
     if (!registry_.configured()) {
--- a/testing/test_deployment/worker.cpp
+++ b/testing/test_deployment/worker.cpp
@@ -55,6 +55,9 @@
 {
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Anvilpost-Server-Load", load_header().c_str());
+    if (faults_.says_leaving_) {
+        evhttp_add_header(headers, "Server-Leaving", "1");
+    }
     if (faults_.rate_limit_) {
         evhttp_add_header(headers, "Server-Limit", std::to_string(*faults_.rate_limit_).c_str());
     }
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -402,3 +402,35 @@
     CHECK_FALSE(decoded->rate_limits_[1].per_second_.has_value());
     CHECK(decoded->rate_limits_[2].per_second_ == 0.0);
 }
+
+TEST_CASE("all nodes hear within 200 ms that an upstream leaves, but only of the incarnation that said so")
+{
+    network net;
+    net.config_.services_["log"].upstreams_["u1"].incarnation_ = "first";
+    for (int i = 0; i < 3; ++i) {
+        net.add("n" + std::to_string(i), "north");
+        net.add("s" + std::to_string(i), "south");
+    }
+    net.run(3s);
+    auto& late = net.add("n3", "north"); // It has read of the next incarnation already.
+    net.run(1s);
+    net.config_.services_["log"].upstreams_["u1"].incarnation_ = "second";
+    late.exchange_.on_configuration(net.config_);
+    late.engine_.apply(net.config_);
+    net.nodes_.front()->exchange_.record_leaving("log", "u1");
+    net.nodes_.front()->engine_.on_upstream_leaving("log", "u1", leaving_source::upstream_itself);
+    net.run(200ms);
+    for (const auto& node : net.nodes_) {
+        const bool leaving = node->engine_.find_upstream("log", "u1")->leaving();
+        CHECK(leaving == (node.get() != &late));
+    }
+    // The address is used again: free of what the earlier incarnation said.
+    for (const auto& node : net.nodes_) {
+        node->exchange_.on_configuration(net.config_);
+        node->engine_.apply(net.config_);
+    }
+    net.run(1s);
+    for (const auto& node : net.nodes_) {
+        CHECK_FALSE(node->engine_.find_upstream("log", "u1")->leaving());
+    }
+}
--- a/tests/core/upstream_registry_test.cpp
+++ b/tests/core/upstream_registry_test.cpp
@@ -150,3 +150,24 @@
     REQUIRE(fixture.registry_.apply({{item_kind::configuration, "", "9", 7, false, false}}));
     REQUIRE(fixture.registry_.effective().revision_ == 9);
 }
+
+TEST_CASE(
+    "an incarnation that said that it leaves stays leaving, whatever its entry says, and the next does not")
+{
+    registry_fixture fixture;
+    const auto state = [&] {
+        return fixture.registry_.effective().services_.at("log").upstreams_.at("u1").state_;
+    };
+    fixture.put("u1", "log first active");
+    CHECK(fixture.registry_.mark_leaving("u1"));
+    CHECK_FALSE(fixture.registry_.mark_leaving("u1"));
+    CHECK_FALSE(fixture.registry_.mark_leaving("u2"));
+    CHECK(state() == upstream_state::leaving);
+    fixture.put("u1", "log first active");
+    CHECK(state() == upstream_state::leaving);
+    fixture.remove("u1", false);
+    fixture.put("u1", "log first active");
+    CHECK(state() == upstream_state::leaving);
+    fixture.put("u1", "log second active");
+    CHECK(state() == upstream_state::active);
+}
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -259,6 +259,31 @@
     require_no_violations(deployment);
 }
 
+TEST_CASE("an upstream that says in its responses that it leaves gets nothing new from any node",
+          "[platform node]")
+{
+    test_deployment deployment(small_deployment_settings());
+    start_serving(deployment);
+    deployment.start_callers(10, 20ms);
+    SECTION("while the store is away")
+    {
+        store_endpoint_faults outage;
+        outage.hang_ = true;
+        deployment.store().set_faults(outage);
+        deployment.announce_fault(15s);
+    }
+    SECTION("while the store goes on listing it as ready") {}
+    worker_faults leaving;
+    leaving.says_leaving_ = true;
+    deployment.worker_at(0).set_faults(leaving);
+    deployment.run_for(platform_bounds::drain);
+    const auto since = deployment.now();
+    deployment.run_for(4s); // The worker writes its entry anew each second.
+    CHECK(most_in_window(deployment.worker_at(0).arrival_times(), since, 4s) == 0);
+    CHECK(is_serving(deployment));
+    require_no_violations(deployment);
+}
+
 TEST_CASE("an upstream that limits its rate gets no more than that from all nodes, probes included",
           "[platform node]")
 {
