--- a/src/adapters/http/header_rules.cpp
+++ b/src/adapters/http/header_rules.cpp
@@ -54,6 +54,16 @@
     return text.substr(first, last - first + 1);
 }
 
+/// Accepts finite decimal numbers from 0 up, without an exponent.
+std::optional<double> parse_decimal(std::string_view text)
+{
+    double number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stopped, error] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool valid = error == std::errc{} && stopped == end && std::isfinite(number) && number >= 0;
+    return valid ? std::optional(number) : std::nullopt;
+}
+
 bool list_contains(std::string_view list, std::string_view wanted)
 {
     while (!list.empty()) {
@@ -157,15 +167,19 @@
 std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name)
 {
     const auto value = name.empty() ? std::nullopt : find_header(headers, name);
-    if (!value) {
+    return value ? parse_decimal(trim(*value)) : std::nullopt;
+}
+
+std::optional<duration> parse_retry_after(const header_list& headers)
+{
+    constexpr double max_seconds = 60;
+    const auto value = find_header(headers, "Retry-After");
+    const auto seconds = value ? parse_decimal(trim(*value)) : std::nullopt;
+    if (!seconds) {
         return std::nullopt;
     }
-    const auto text = trim(*value);
-    double rate = 0;
-    const char* end = text.data() + text.size();
-    const auto [stopped, error] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
-    const bool valid = error == std::errc{} && stopped == end && std::isfinite(rate) && rate >= 0;
-    return valid ? std::optional(rate) : std::nullopt;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(max_seconds, *seconds)));
 }
 
 std::string host_without_port(const std::string& host)
--- a/src/adapters/http/header_rules.h
+++ b/src/adapters/http/header_rules.h
@@ -59,6 +59,10 @@
 /// Returns the number of attempts from the header `name`; 1 when it is no positive whole number.
 int parse_attempts(const header_list& headers, const std::string& name);
 
+/// Returns the delay of a Retry-After header in seconds, with fractions, at most a minute; nothing when it is
+/// absent or no decimal number from 0 up (dates are not used between machines whose clocks may differ).
+std::optional<duration> parse_retry_after(const header_list& headers);
+
 /// Returns the rate limit in requests per second from the header `name`, or nothing when it is absent, or no
 /// decimal number from 0 up.
 std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name);
--- a/src/adapters/http/health_prober.cpp
+++ b/src/adapters/http/health_prober.cpp
@@ -15,6 +15,7 @@
 constexpr duration probe_timeout = 150ms;
 constexpr std::size_t max_response_head_bytes = 8UL * 1024;
 constexpr int http_ok = 200;
+constexpr int http_unavailable = 503;
 constexpr int first_final_status = 200;
 
 } // namespace
@@ -145,6 +146,9 @@
     if (const auto report = find_header(head.headers_, names_.load_)) {
         result.load_ = names_.parse_load_(*report);
     }
+    if (head.status_ == http_unavailable) {
+        result.retry_after_ = parse_retry_after(head.headers_);
+    }
     const auto instance = find_header(head.headers_, names_.instance_);
     if (instance && *instance != from.target_.upstream_) {
         result = {}; // Another instance has taken over the address; counts as no response.
--- a/src/adapters/http/health_prober.h
+++ b/src/adapters/http/health_prober.h
@@ -33,6 +33,7 @@
     bool healthy_ = false;
     bool on_new_connection_ = false; ///< It was the first probe on its connection.
     std::optional<load_report> load_;
+    std::optional<duration> retry_after_{}; ///< With 503: for how long it wants no further request.
 };
 
 /// Probes a set of targets. Invariants: a target has at most one probe in flight; the period is measured
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -17,6 +17,7 @@
 
 constexpr duration sweep_period = std::chrono::milliseconds(500);
 constexpr int first_final_status = 200;
+constexpr int service_unavailable = 503;
 
 /// Share of the idle timeout announced by an upstream (Keep-Alive header) during which a connection is
 /// reused. Later, a request could be sent just as the upstream closes the connection.
@@ -362,6 +363,9 @@
     converted.misdirected_ = !names_.expected_instance_.empty() && head.status_ == names_.misdirected_status_;
     converted.not_run_ = converted.misdirected_ || (!names_.not_run_.empty() &&
                                                     find_header(head.headers_, names_.not_run_).has_value());
+    if (head.status_ == service_unavailable) {
+        converted.retry_after_ = parse_retry_after(head.headers_);
+    }
     converted.rate_limit_ = parse_rate_limit(head.headers_, names_.rate_limit_);
     if (const auto report = find_header(head.headers_, names_.load_)) {
         converted.load_ = names_.parse_load_(*report);
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds min_retry_after = 50ms;
 constexpr std::chrono::milliseconds max_retry_after = 5s;
 
+/// Callers that are told when an upstream wants requests again return over this share of the time later.
+constexpr double max_pause_jitter_share = 0.1;
+
 /// True for the status of a response that is not passed to the caller while another upstream may be tried.
 bool is_server_error(int status)
 {
@@ -225,6 +228,9 @@
         service->learn_work(state.call_, *upstream, answered.running_at_start_,
                             upstream->cumulative_work(now()) - answered.cumulative_work_at_start_);
     }
+    if (head.retry_after_) {
+        upstream->hold_until(now() + *head.retry_after_);
+    }
     if (upstream->limit().on_response(head.rate_limit_, head.status_ < 500, answered.started_, now())) {
         ports_.observer_.on_rate_limit_changed(answered.service_, answered.upstream_,
                                                upstream->limit().latest().per_second_);
@@ -517,11 +523,16 @@
 }
 
 /// Returns how long a rejected caller should wait before it sends the request again: the time to serve the
-/// calls that wait now, plus a random jitter of up to as long again, so that callers which were rejected
-/// together do not return together.
+/// calls that wait now, or until an upstream wants requests again, plus a random jitter of up to as long
+/// again, so that callers which were rejected together do not return together.
 std::chrono::milliseconds call_engine::retry_after(const service_state* service)
 {
     const duration wait = service == nullptr ? duration{} : service->expected_queue_wait();
+    const duration held = service == nullptr ? duration{} : service->held_until({}) - now();
+    if (held > duration{}) {
+        const double spread = 1.0 + max_pause_jitter_share * random_unit(ports_.random_);
+        return std::chrono::ceil<std::chrono::milliseconds>(held * spread);
+    }
     const double jitter_factor = 1.0 + random_unit(ports_.random_);
     const auto jittered_wait = std::chrono::milliseconds(
         static_cast<std::int64_t>(std::chrono::duration<double, std::milli>(wait).count() * jitter_factor));
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -106,13 +106,13 @@
     /// Adds calls that an upstream served and failed for another node.
     void on_peer_outcomes(const std::string& service, const std::string& upstream, int served, int failed);
 
+    /// An upstream asked in its response to a probe of this node for a pause.
+    void on_retry_after(const std::string& service, const std::string& upstream, duration pause);
+
     /// Another node learnt of a new rate limit of an upstream, or of its end.
     void on_peer_rate_limit(const std::string& service, const std::string& upstream,
                             const rate_limit_notice& notice);
 
-    /// Sets this node's share of an upstream's rate limit, in [0, 1].
-    void set_rate_limit_share(const std::string& service, const std::string& upstream, double share);
-
     /// Acts on new load reports: hedges calls that run at upstreams which have slowed down, and starts
     /// waiting calls.
     void apply_loads();
--- a/src/core/calls/call_engine_reports.cpp
+++ b/src/core/calls/call_engine_reports.cpp
@@ -116,18 +116,18 @@
     }
 }
 
-void call_engine::on_peer_rate_limit(const std::string& service, const std::string& upstream,
-                                     const rate_limit_notice& notice)
+void call_engine::on_retry_after(const std::string& service, const std::string& upstream, duration pause)
 {
     if (auto* tracker = find_upstream(service, upstream)) {
-        tracker->limit().apply(notice, now());
+        tracker->hold_until(now() + pause);
     }
 }
 
-void call_engine::set_rate_limit_share(const std::string& service, const std::string& upstream, double share)
+void call_engine::on_peer_rate_limit(const std::string& service, const std::string& upstream,
+                                     const rate_limit_notice& notice)
 {
     if (auto* tracker = find_upstream(service, upstream)) {
-        tracker->limit().set_share(share, now());
+        tracker->limit().apply(notice, now());
     }
 }
 
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -100,6 +100,10 @@
         reject(state, problem_kind::no_upstream, "no further upstream of the service receives calls");
         return;
     }
+    if (service.held_until(state.tried_) > now()) {
+        reject(state, problem_kind::overloaded, "every upstream asked for a pause");
+        return;
+    }
     if (!may_wait(state, service)) {
         reject(state, problem_kind::overloaded, "the wait would be too long");
         return;
@@ -112,7 +116,8 @@
 
 void call_engine::start_waiting_calls(service_state& service)
 {
-    const bool may_start = service.has_any_room(now()) || reachability_.cut_off(now());
+    const bool may_start =
+        service.has_any_room(now()) || reachability_.cut_off(now()) || service.held_until({}) > now();
     if (service.queue_.empty() || !may_start) {
         return;
     }
@@ -126,6 +131,11 @@
             reject(*state, problem_kind::deadline_exceeded, "no upstream became free in time");
             continue;
         }
+        if (service.held_until(state->tried_) > now()) {
+            service.queue_.remove(next);
+            reject(*state, problem_kind::overloaded, "every upstream asked for a pause");
+            continue;
+        }
         if (!service.has_eligible_upstream(state->tried_)) {
             service.queue_.remove(next);
             reject(*state, problem_kind::no_upstream, "no further upstream of the service receives calls");
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -115,7 +115,7 @@
 bool service_state::has_room(const upstream_tracker& upstream, time_point now) const
 {
     if (!upstream.receives_calls() || upstream.in_flight() >= connection_limit() ||
-        !upstream.limit().allows(now)) {
+        !upstream.limit().allows(now) || now < upstream.held_until()) {
         return false;
     }
     if (uses_earliest_finish()) {
@@ -245,6 +245,17 @@
     return counted;
 }
 
+time_point service_state::held_until(const std::set<std::string>& tried) const
+{
+    auto earliest = time_point::max();
+    for (const auto& [name, tracker] : upstreams_) {
+        if (tracker->receives_calls() && !tried.contains(name)) {
+            earliest = std::min(earliest, tracker->held_until());
+        }
+    }
+    return earliest == time_point::max() ? time_point{} : earliest;
+}
+
 bool service_state::has_eligible_upstream(const std::set<std::string>& tried) const
 {
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -62,6 +62,10 @@
     /// True when at least one upstream outside `tried` receives calls, whether or not it has room now.
     [[nodiscard]] bool has_eligible_upstream(const std::set<std::string>& tried) const;
 
+    /// Returns the earliest time at which an upstream outside `tried` wants requests from this node again; in
+    /// the past while one of them does.
+    [[nodiscard]] time_point held_until(const std::set<std::string>& tried) const;
+
     /// True when the call misses its latency objective at `offered` and is expected to meet it, and to finish
     /// earlier, by waiting for another slot.
     [[nodiscard]] bool better_to_wait(const call& wanted, const upstream_tracker& offered,
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -558,21 +558,22 @@
 void peer_exchange::divide_rate_limits(time_point now)
 {
     rate_limited_.clear();
-    for (const auto& [key, upstream] : upstreams_) {
-        const auto* tracker = ports_.engine_.find_upstream(upstream.service_, upstream.name_);
-        if (tracker == nullptr || upstream.ambiguous_) {
-            continue;
-        }
-        const auto& latest = tracker->limit().latest();
-        const bool ended_lately =
-            latest.learnt_at_ != time_point{} && now - latest.learnt_at_ <= ended_limit_propagation_time;
-        if (!latest.per_second_ && !ended_lately) {
-            continue;
+    for (const auto& [service, state] : ports_.engine_.services()) {
+        for (const auto& [name, tracker] : state.upstreams()) {
+            const auto& latest = tracker->limit().latest();
+            const bool known_lately =
+                latest.learnt_at_ != time_point{} && now - latest.learnt_at_ <= ended_limit_propagation_time;
+            if (!latest.per_second_ && !known_lately) {
+                continue;
+            }
+            const auto key = upstream_key(service, name);
+            if (find_upstream(key) != nullptr) {
+                rate_limited_.push_back(key);
+            }
+            const double share = duties_.share_of(name, tracker->config().data_centre_,
+                                                  rate_limit_sharers(latest.per_second_.value_or(0)), now);
+            tracker->limit().set_share(share, now);
         }
-        rate_limited_.push_back(key);
-        const double share = duties_.share_of(upstream.name_, upstream.data_centre_,
-                                              rate_limit_sharers(latest.per_second_.value_or(0)), now);
-        ports_.engine_.set_rate_limit_share(upstream.service_, upstream.name_, share);
     }
 }
 
--- a/src/core/upstreams/upstream_reachability.h
+++ b/src/core/upstreams/upstream_reachability.h
@@ -54,8 +54,8 @@
     static constexpr std::size_t failures_when_cut_off = 3;
     static constexpr std::size_t failures_to_connect = 5;
 
-    /// Longer than a probe of an upstream that responds takes.
-    static constexpr duration min_time_in_doubt = std::chrono::milliseconds(200);
+    /// Longer than a node takes to begin its probes and an upstream to respond to one.
+    static constexpr duration min_time_in_doubt = std::chrono::milliseconds(400);
 
     struct failure_record {
         std::set<std::string> upstreams_;
--- a/src/core/upstreams/upstream_tracker.cpp
+++ b/src/core/upstreams/upstream_tracker.cpp
@@ -75,6 +75,7 @@
     reported_unhealthy_ = false;
     warm_up_ends_at_ = now + config.warm_up_;
     limit_ = {};
+    held_until_ = {};
 }
 
 void upstream_tracker::configure(const upstream_config& config, time_point now)
--- a/src/core/upstreams/upstream_tracker.h
+++ b/src/core/upstreams/upstream_tracker.h
@@ -6,6 +6,7 @@
 #include "core/upstreams/rate_limit.h"
 #include "vocabulary/call.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -83,6 +84,10 @@
     [[nodiscard]] rate_limit& limit() { return limit_; }
     [[nodiscard]] const rate_limit& limit() const { return limit_; }
 
+    /// The upstream wants no further request from this node until then.
+    void hold_until(time_point end) { held_until_ = std::max(held_until_, end); }
+    [[nodiscard]] time_point held_until() const { return held_until_; }
+
     /// Records that a probe or a response showed that the upstream works, which ends its ejection.
     void on_success(time_point now);
 
@@ -192,6 +197,7 @@
     bool reported_unhealthy_ = false;
     time_point warm_up_ends_at_{};
     rate_limit limit_;
+    time_point held_until_{};
 };
 
 } // namespace anvilpost
--- a/src/daemon/call_path.cpp
+++ b/src/daemon/call_path.cpp
@@ -124,6 +124,10 @@
             row["failure_rate"] = upstream->failure_rate(clock_.now());
             row["ejected"] = upstream->ejected(clock_.now());
             row["leaving"] = upstream->leaving();
+            if (upstream->held_until() > clock_.now()) {
+                row["wants_requests_in_ms"] =
+                    std::chrono::duration<double, std::milli>(upstream->held_until() - clock_.now()).count();
+            }
             if (const auto limit = upstream->limit().latest().per_second_) {
                 row["rate_limit_per_second"] = *limit;
             }
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -185,10 +185,7 @@
     if (registry_.drop_lapsed()) {
         apply_effective_configuration();
     }
-    const bool in_doubt = call_path_.engine().reachability().in_doubt();
-    const bool doubt_begins = in_doubt && !in_doubt_;
-    in_doubt_ = in_doubt;
-    if (clock_.now() >= next_probe_choice_ || doubt_begins) {
+    if (clock_.now() >= next_probe_choice_) {
         next_probe_choice_ = clock_.now() + probe_choice_period;
         choose_probe_targets();
     }
@@ -217,7 +214,8 @@
             const auto& config = upstream->config();
             // Probes would use up the few requests that an upstream in need accepts; its responses to calls
             // tell its load.
-            const bool wants_probes = upstream->receives_calls() && !upstream->limit().active();
+            const bool wants_probes = upstream->receives_calls() && !upstream->limit().active() &&
+                                      upstream->held_until() <= clock_.now();
             if (wants_probes && peers_.duties().probes(name, config.data_centre_)) {
                 targets.push_back(
                     {service_name, name, config.ip_, config.port_, policy.health_path_, period});
@@ -233,30 +231,43 @@
 void registry_node::add_reachability_probes(std::vector<probe_target>& targets) const
 {
     const auto& engine = call_path_.engine();
-    if (!engine.reachability().in_doubt() || call_path_.stage() != node_stage::running) {
+    if (!engine.reachability().in_doubt() || call_path_.stage() != node_stage::running ||
+        targets.size() >= reachability_probe_targets) {
         return;
     }
-    std::map<std::uint64_t, probe_target> by_rank;
-    for (const auto& [service_name, service] : engine.services()) {
-        const auto& policy = service.config().policy_;
+    struct candidate {
+        std::uint64_t rank_ = 0;
+        const service_state* service_ = nullptr;
+        const upstream_tracker* upstream_ = nullptr;
+    };
+    std::vector<candidate> candidates;
+    const auto own_seed = stable_hash(settings_.node_);
+    for (const auto& [unused, service] : engine.services()) {
         for (const auto& [name, upstream] : service.upstreams()) {
-            const auto& config = upstream->config();
-            const bool probed = std::any_of(targets.begin(), targets.end(), [&](const probe_target& target) {
-                return target.service_ == service_name && target.upstream_ == name;
-            });
-            if (!probed && upstream->receives_calls() && policy.probes_per_second_ > 0) {
-                const auto period = upstream->limit().active() ? reachability_probe_period_of_limited
-                                                               : reachability_probe_period;
-                by_rank[stable_hash(name, stable_hash(settings_.node_))] = {
-                    service_name, name, config.ip_, config.port_, policy.health_path_, period};
+            const bool wants_probes = upstream->receives_calls() && upstream->held_until() <= clock_.now();
+            if (wants_probes && service.config().policy_.probes_per_second_ > 0) {
+                candidates.push_back({stable_hash(name, own_seed), &service, upstream.get()});
             }
         }
     }
-    for (const auto& [unused, target] : by_rank) {
+    std::sort(candidates.begin(), candidates.end(),
+              [](const candidate& a, const candidate& b) { return a.rank_ < b.rank_; });
+    for (const auto& chosen : candidates) {
+        const auto& service = *chosen.service_;
+        const auto& upstream = *chosen.upstream_;
+        const bool probed = std::any_of(targets.begin(), targets.end(), [&](const probe_target& target) {
+            return target.service_ == service.name() && target.upstream_ == upstream.name();
+        });
+        if (probed) {
+            continue;
+        }
+        const auto period =
+            upstream.limit().active() ? reachability_probe_period_of_limited : reachability_probe_period;
+        targets.push_back({service.name(), upstream.name(), upstream.config().ip_, upstream.config().port_,
+                           service.config().policy_.health_path_, period});
         if (targets.size() >= reachability_probe_targets) {
             return;
         }
-        targets.push_back(target);
     }
 }
 
@@ -278,6 +289,9 @@
         }
         return;
     }
+    if (result.retry_after_) {
+        engine.on_retry_after(target.service_, target.upstream_, *result.retry_after_);
+    }
     if (result.load_) {
         engine.on_load(target.service_, target.upstream_, *result.load_, now);
         peers_.record_load(target.service_, target.upstream_, *result.load_, result.healthy_, true);
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -114,8 +114,7 @@
     std::uint64_t late_ticks_ = 0;
     std::uint64_t probes_of_limited_upstreams_ = 0; ///< Ended while the upstream named a rate limit.
     bool fetching_view_ = false;
-    bool in_doubt_ = false; ///< Whether upstreams could be reached, at the last tick.
-    bool cut_off_ = false;  ///< No upstream can be reached, as last logged.
+    bool cut_off_ = false; ///< No upstream can be reached, as last logged.
     page_server ready_server_;
     page_server control_server_;
     timer tick_;
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -71,6 +71,8 @@
     bool not_run_ = false;           ///< The upstream states that it did not run the request.
     bool misdirected_ = false;       ///< A different instance answered at the upstream's address.
     bool on_new_connection_ = false; ///< The connection was opened for this attempt.
+    /// With a refusal: for how long the upstream wants no further request from this node.
+    std::optional<duration> retry_after_{};
     /// Requests per second that the upstream accepts from all nodes together; empty: it names no limit.
     std::optional<double> rate_limit_{};
 };
--- a/testing/test_deployment/worker.cpp
+++ b/testing/test_deployment/worker.cpp
@@ -78,6 +78,9 @@
     add_common_headers(request, header_of(request, request_id_name));
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Anvilpost-Not-Executed", "1");
+    if (faults_.retry_after_s_ > 0) {
+        evhttp_add_header(headers, "Retry-After", std::to_string(faults_.retry_after_s_).c_str());
+    }
     evhttp_add_header(headers, instance_name, settings_.id_.c_str());
     reply(request, status, "");
 }
--- a/testing/test_deployment/worker.h
+++ b/testing/test_deployment/worker.h
@@ -35,6 +35,7 @@
     double never_answer_ = 0;       ///< Share of the requests that run and are never answered.
     double refuse_ = 0;             ///< Share of the requests that are refused as not executed.
     bool always_healthy_ = false;   ///< The health path answers 200 even while the worker drains.
+    int retry_after_s_ = 0;         ///< Retry-After of refusals, in seconds; 0: none.
     bool says_leaving_ = false;     ///< Every response says that the worker leaves; its entry does not.
     /// Rate limit in requests per second that every response names; empty: none.
     std::optional<double> rate_limit_;
--- a/tests/core/call_engine_earliest_finish_test.cpp
+++ b/tests/core/call_engine_earliest_finish_test.cpp
@@ -281,3 +281,54 @@
     REQUIRE(fixture.callers_.rejected_.contains(call));
     CHECK(fixture.callers_.rejected_.at(call).verdict_ == verdict::not_run);
 }
+
+TEST_CASE("an upstream that refused with Retry-After gets nothing from this node until that time has passed")
+{
+    earliest_finish_fixture fixture(2);
+    fixture.send_call(true);
+    const auto held = fixture.last().upstream_;
+    response_head head{503, false, std::nullopt, true};
+    head.retry_after_ = 2s;
+    fixture.engine_.on_response_started(fixture.last().attempt_, head);
+    REQUIRE(fixture.last().upstream_ != held);
+    for (int i = 0; i < 19; ++i) {
+        fixture.advance(100ms);
+        fixture.send_call(true);
+        CHECK(fixture.last().upstream_ != held);
+        fixture.answer(fixture.last().attempt_);
+    }
+    fixture.advance(200ms);
+    std::set<std::string> used;
+    for (int i = 0; i < 8; ++i) {
+        fixture.send_call(true);
+        used.insert(fixture.last().upstream_);
+    }
+    CHECK(used.contains(held));
+}
+
+TEST_CASE("when every upstream has asked for a pause, new and waiting calls are rejected at once until the "
+          "first ends")
+{
+    earliest_finish_fixture fixture(2, 1);
+    std::vector<attempt_order> open;
+    for (int i = 0; i < 2; ++i) {
+        fixture.send_call(false);
+        open.push_back(fixture.last());
+    }
+    const auto waiting = fixture.send_call(true);
+    REQUIRE(fixture.upstreams_.started_.size() == 2);
+    response_head head{503, false, std::nullopt, true};
+    head.retry_after_ = 8s;
+    fixture.engine_.on_response_started(open[0].attempt_, head);
+    head.retry_after_ = 7s;
+    fixture.engine_.on_response_started(open[1].attempt_, head);
+    REQUIRE(fixture.upstreams_.started_.size() == 2);
+    REQUIRE(fixture.callers_.rejected_.contains(waiting));
+    const auto call = fixture.send_call(true);
+    REQUIRE(fixture.callers_.rejected_.contains(call));
+    const auto& why = fixture.callers_.rejected_.at(call);
+    CHECK(why.verdict_ == verdict::not_run);
+    CHECK(status_of(why.kind_) == 503);
+    CHECK(why.retry_after_ >= 7s);
+    CHECK(why.retry_after_ < 8s);
+}
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -284,6 +284,32 @@
     require_no_violations(deployment);
 }
 
+TEST_CASE("an upstream that refuses with Retry-After is left alone by that node, probes included",
+          "[platform node]")
+{
+    auto settings = small_deployment_settings();
+    settings.nodes_ = 1;
+    settings.workers_per_service_ = 3;
+    test_deployment deployment(settings);
+    start_serving(deployment);
+    worker_faults overloaded;
+    overloaded.refuse_ = 1;
+    overloaded.retry_after_s_ = 4;
+    const auto begin = deployment.now();
+    deployment.worker_at(0).set_faults(overloaded);
+    deployment.start_callers(6, 20ms);
+    deployment.run_for(4s);
+    const auto& times = deployment.worker_at(0).arrival_times();
+    // The platform's rule counts from half a second after the refusal to the end of the time given; a probe
+    // that was answered before the refusal does not count.
+    const auto late = std::count_if(times.begin(), times.end(), [&](time_point arrived) {
+        return arrived > begin + 1s && arrived < begin + 4s;
+    });
+    CHECK(late <= 2);
+    CHECK(is_serving(deployment));
+    require_no_violations(deployment);
+}
+
 TEST_CASE("an upstream that limits its rate gets no more than that from all nodes, probes included",
           "[platform node]")
 {
