Store view: a late full read, or a peer that skipped history, brings back no upstream that was deleted

What callers saw: rarely, after the start of a node or after the store forgot its history, calls to an upstream that had left. (2) A node that skips history by a full read has no record of what came and went meanwhile, and passed on a list of changes as if it had. Change: an unknown item at or below the revision up to which the view is complete was deleted, so it is ignored; after a full read that skips history, peers behind it get the whole view, with the items that may only have lapsed.

--- a/src/core/fleet/store_view.cpp
+++ b/src/core/fleet/store_view.cpp
@@ -9,7 +9,11 @@
 
 bool store_view::merge_item(const stored_item& item)
 {
-    auto& known = items_[{item.kind_, item.name_}];
+    const item_key key{item.kind_, item.name_};
+    if (!items_.contains(key) && item.revision_ <= revision_) {
+        return false; // The view is complete up to a later revision without it: it was deleted since.
+    }
+    auto& known = items_[key];
     if (known.revision_ >= item.revision_) {
         return false;
     }
@@ -35,7 +39,12 @@
 std::vector<stored_item> store_view::replace(const std::vector<stored_item>& items, std::uint64_t revision,
                                              bool missing_may_have_lapsed)
 {
+    const bool skips_history = revision > revision_;
     auto updates = apply(items, revision);
+    if (skips_history) {
+        // An item that came and went since the last revision left no tombstone here.
+        tombstones_missing_to_ = std::max(tombstones_missing_to_, revision);
+    }
     std::set<item_key> listed;
     for (const auto& item : items) {
         listed.insert({item.kind_, item.name_});
@@ -55,10 +64,10 @@
 
 std::vector<stored_item> store_view::changes_after(std::uint64_t revision, bool& is_snapshot) const
 {
-    is_snapshot = revision < tombstones_dropped_to_ || revision == 0;
+    is_snapshot = revision < tombstones_missing_to_ || revision == 0;
     std::vector<stored_item> changes;
     for (const auto& [unused, item] : items_) {
-        if (is_snapshot ? !item.deleted_ : item.revision_ > revision) {
+        if (is_snapshot ? !item.deleted_ || item.lapsed_ : item.revision_ > revision) {
             changes.push_back(item);
         }
     }
@@ -96,7 +105,7 @@
     std::sort(tombstones.begin(), tombstones.end());
     const auto surplus = tombstones.size() - max_tombstones / 2;
     for (std::size_t i = 0; i < surplus; ++i) {
-        tombstones_dropped_to_ = std::max(tombstones_dropped_to_, tombstones[i].first);
+        tombstones_missing_to_ = std::max(tombstones_missing_to_, tombstones[i].first);
         items_.erase(tombstones[i].second);
     }
 }
--- a/src/core/fleet/store_view.h
+++ b/src/core/fleet/store_view.h
@@ -25,7 +25,8 @@
                                      bool missing_may_have_lapsed = false);
 
     /// Returns all changes after `revision`, deletions included. For revision 0, or where deletions since
-    /// then may have been dropped, returns all existing items instead and sets `is_snapshot` to true.
+    /// then may have no tombstone, returns all existing and lapsed items instead and sets `is_snapshot` to
+    /// true.
     [[nodiscard]] std::vector<stored_item> changes_after(std::uint64_t revision, bool& is_snapshot) const;
 
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
@@ -43,7 +44,9 @@
 
     std::map<item_key, stored_item> items_; ///< Includes tombstones of deleted items.
     std::uint64_t revision_ = 0;
-    std::uint64_t tombstones_dropped_to_ = 0; ///< Tombstones up to this revision may have been dropped.
+    /// Deletions up to this revision may have no tombstone: it was dropped, or a full read skipped the
+    /// history.
+    std::uint64_t tombstones_missing_to_ = 0;
 };
 
 } // namespace anvilpost
