--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -120,6 +120,14 @@
         return;
     }
     full_read_due_ = false;
+    const bool restored = complete_ && epoch_of(result.revision_) > epoch_of(view_.revision());
+    if (restored) {
+        // Entries that are missing now were written after the copy was taken; their upstreams write them
+        // again.
+        ++counters_.store_restores_;
+        long_outage_ = true;
+        outage_ended_ = clock_.now();
+    }
     complete_ = true;
     const auto updates = view_.replace(result.items_, result.revision_, leases_may_have_lapsed());
     verified_at_ = std::max(verified_at_, started);
@@ -169,7 +177,9 @@
     if (!is_snapshot && !complete_) {
         return;
     }
-    const auto updates = is_snapshot ? view_.replace(changes, revision) : view_.apply(changes, revision);
+    const bool restored = epoch_of(revision) > epoch_of(view_.revision());
+    const auto updates =
+        is_snapshot ? view_.replace(changes, revision, restored) : view_.apply(changes, revision);
     complete_ = true;
     counters_.changes_from_peers_ += updates.size();
     verified_at_ = std::max(verified_at_, verified_at);
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -37,6 +37,7 @@
     std::uint64_t store_failures_ = 0;
     std::uint64_t full_reads_ = 0;         ///< Full reads, also counted in `store_calls_`.
     std::uint64_t changes_from_peers_ = 0; ///< Changes that peers sent.
+    std::uint64_t store_restores_ = 0;     ///< Full reads that found the store restored from an older copy.
 };
 
 /// Invariant: the view holds every change that the store made before `verified_at()`.
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -345,6 +345,12 @@
 
 void registry_node::on_store_changes(const std::vector<stored_item>& changes)
 {
+    const auto epoch = epoch_of(follower_.view().revision());
+    if (store_epoch_ && epoch != *store_epoch_) {
+        write_log(log_level::warning, "the store was restored from an older copy",
+                  {{"epoch", epoch}, {"epoch_before", *store_epoch_}, {"changes", changes.size()}});
+    }
+    store_epoch_ = epoch;
     if (registry_.apply(changes)) {
         apply_effective_configuration();
     }
@@ -394,7 +400,8 @@
             {"stage", name_of(call_path_.stage())},
             {"ready", ready()},
             {"view",
-             {{"revision", follower_.view().revision()},
+             {{"revision", number_of(follower_.view().revision())},
+              {"store_epoch", epoch_of(follower_.view().revision())},
               {"age_ms", follower_.complete() ? milliseconds(follower_.age()) : -1},
               {"store_reachable", follower_.store_reachable()}}},
             {"peers", peer_status()},
@@ -424,8 +431,10 @@
     add_metric(text, "store_calls_total", "counter", follower.store_calls_);
     add_metric(text, "store_failures_total", "counter", follower.store_failures_);
     add_metric(text, "store_whole_reads_total", "counter", follower.full_reads_);
+    add_metric(text, "store_restores_seen_total", "counter", follower.store_restores_);
     add_metric(text, "view_changes_from_peers_total", "counter", follower.changes_from_peers_);
-    add_metric(text, "view_revision", "gauge", follower_.view().revision());
+    add_metric(text, "view_revision", "gauge", number_of(follower_.view().revision()));
+    add_metric(text, "view_store_epoch", "gauge", epoch_of(follower_.view().revision()));
     add_metric(text, "registry_entries_refused_total", "counter", registry_.refused_entries());
     const auto& exchange = peers_.counters();
     add_metric(text, "peers_live", "gauge", peers_.peers().live(clock_.now()).size());
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -114,7 +114,8 @@
     std::uint64_t late_ticks_ = 0;
     std::uint64_t probes_of_limited_upstreams_ = 0; ///< Ended while the upstream named a rate limit.
     bool fetching_view_ = false;
-    bool cut_off_ = false; ///< No upstream can be reached, as last logged.
+    std::optional<std::uint64_t> store_epoch_; ///< Of the view at its last change.
+    bool cut_off_ = false;                     ///< No upstream can be reached, as last logged.
     page_server ready_server_;
     page_server control_server_;
     timer tick_;
--- a/src/ports/registry_store_port.h
+++ b/src/ports/registry_store_port.h
@@ -11,6 +11,29 @@
 
 namespace anvilpost {
 
+/// Revisions order the changes of the store. A store that comes back from an older copy of its data gives out
+/// the numbers of the lost changes again; its epoch, which rises each time, tells them apart. A revision
+/// holds both, the epoch in its high bits, so that every change after a restore is newer than any before it.
+inline constexpr int revision_number_bits = 40;
+inline constexpr std::uint64_t max_revision_number = (std::uint64_t{1} << revision_number_bits) - 1;
+inline constexpr std::uint64_t max_store_epoch = (std::uint64_t{1} << (63 - revision_number_bits)) - 1;
+
+/// Both must be within their limits.
+constexpr std::uint64_t make_revision(std::uint64_t epoch, std::uint64_t number)
+{
+    return (epoch << revision_number_bits) | number;
+}
+
+constexpr std::uint64_t epoch_of(std::uint64_t revision)
+{
+    return revision >> revision_number_bits;
+}
+
+constexpr std::uint64_t number_of(std::uint64_t revision)
+{
+    return revision & max_revision_number;
+}
+
 enum class item_kind : std::uint8_t { configuration, upstream, node };
 
 /// One document of the store in its state after its last change.
@@ -32,7 +55,7 @@
     std::vector<stored_item> items_;
     /// The result includes all changes up to this revision of the store.
     std::uint64_t revision_ = 0;
-    /// The store no longer has the requested changes; a full read is needed.
+    /// The store no longer has the requested changes, or has another epoch; a full read is needed.
     bool history_lost_ = false;
 };
 
--- a/testing/test_deployment/registry_store.cpp
+++ b/testing/test_deployment/registry_store.cpp
@@ -94,6 +94,20 @@
     }
 }
 
+void registry_store::take_copy()
+{
+    copied_items_ = items_;
+    copied_revision_ = revision_;
+}
+
+void registry_store::restore()
+{
+    ++era_;
+    items_ = copied_items_;
+    revision_ = copied_revision_;
+    compact();
+}
+
 void registry_store::compact()
 {
     history_.clear();
@@ -142,6 +156,7 @@
 {
     auto& target = *endpoints_[number];
     target.listener_->on_request_complete(request);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era", std::to_string(era_).c_str());
     if (target.faults_.hang_) {
         return;
     }
@@ -250,7 +265,7 @@
         return true;
     }
     json events = json::array();
-    if (call.after_ < compacted_to_) {
+    if (call.after_ < compacted_to_ || call.after_ > revision_) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(call.request_), nullptr, nullptr);
         reply(std::exchange(call.request_, nullptr), http_gone, "{}");
         return true;
--- a/testing/test_deployment/registry_store.h
+++ b/testing/test_deployment/registry_store.h
@@ -56,6 +56,13 @@
     /// Drops the history and closes the connections of all waiting watches.
     void compact();
 
+    /// Keeps a copy of the present state for `restore`.
+    void take_copy();
+
+    /// Comes back from the copy: what was written since is gone, revisions are given out again, waiting
+    /// watches are cut, and the era that every response names rises by one.
+    void restore();
+
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
     [[nodiscard]] const store_counters& counters() const { return counters_; }
     [[nodiscard]] std::vector<std::string> keys(const std::string& prefix) const;
@@ -118,6 +125,9 @@
     std::map<std::uint64_t, lease> leases_;
     std::vector<std::shared_ptr<pending_call>> watches_;
     std::vector<std::shared_ptr<pending_call>> delayed_;
+    std::uint64_t era_ = 1;
+    std::map<std::string, item> copied_items_;
+    std::uint64_t copied_revision_ = 0;
     std::uint64_t revision_ = 10;
     std::uint64_t compacted_to_ = 10;
     std::uint64_t next_lease_ = 1;
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -139,6 +139,40 @@
     require_no_violations(deployment);
 }
 
+TEST_CASE("changes of a store that came back from an older copy are in force as soon as any other",
+          "[platform node]")
+{
+    test_deployment deployment(small_deployment_settings());
+    deployment.store().take_copy();
+    start_serving(deployment);
+    deployment.run_for(5s); // The workers' entries take up dozens of revisions, which are given out again.
+    const int restores = GENERATE(1, 2);
+    for (int i = 0; i < restores; ++i) {
+        deployment.store().restore();
+        deployment.run_for(300ms);
+    }
+    deployment.put_configuration(); // The operator writes it again.
+    deployment.drain_worker(1);
+    deployment.move_route(0, "log");
+    deployment.run_for(platform_bounds::configuration);
+    const auto from = deployment.now();
+    deployment.run_for(2s);
+    CHECK(is_serving(deployment));
+    deployment.finish();
+    int moved = 0;
+    for (const auto& [unused, request] : deployment.checker().requests()) {
+        if (request.sent_at_ > from && request.path_.starts_with("/pages/") && !request.ran_at_.empty()) {
+            // Workers 0 and 1 belong to "desk"; higher numbers belong to "log".
+            CHECK(std::stoi(request.ran_at_.front().substr(1)) >= 2);
+            ++moved;
+        }
+    }
+    CHECK(moved > 0);
+    const auto& violations = deployment.checker().violations();
+    INFO((violations.empty() ? std::string() : violations.front()));
+    CHECK(violations.empty());
+}
+
 TEST_CASE("nodes resynchronise with a store that has lost its change history", "[platform node]")
 {
     test_deployment deployment(small_deployment_settings());
