Upstreams: a word that one leaves concerns the incarnation that said so, and 421 stays a view of one node

The registry was told of a leaving upstream by its name, a moment later: another incarnation could have taken its entry. A 421 (another instance at the address) was spread as if the upstream had said that it leaves. An upstream's own error was dropped for a retry that could not be made, when all others had asked for a pause. Change: the incarnation goes with the word; only an upstream's own word is spread; no retry is started towards upstreams that are paused.

--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -211,7 +211,7 @@
     }
     if ((head.upstream_is_leaving_ || head.misdirected_) && !upstream->leaving()) {
         upstream->mark_leaving(leaving_source::upstream_itself);
-        if (on_leaving_) {
+        if (head.upstream_is_leaving_ && on_leaving_) {
             on_leaving_(answered.service_, answered.upstream_);
         }
     }
@@ -296,7 +296,7 @@
 {
     auto avoided = state.tried_;
     const bool possible = state.attempts_made_ < state.call_.max_attempts_ &&
-                          service.has_eligible_upstream(avoided) &&
+                          service.has_eligible_upstream(avoided) && service.held_until(avoided) <= now() &&
                           now() + service.expected_work(state.call_) < state.call_.deadline_;
     if (!possible) {
         return false;
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -149,8 +149,8 @@
     /// notified.
     std::function<void(std::uint64_t fingerprint, const std::string& upstream)> on_strike_;
 
-    /// Called when an upstream's response states that the upstream is leaving or comes from a different
-    /// instance at its address.
+    /// Called when an upstream's response states that the upstream is leaving. That a different instance
+    /// answered at its address concerns this node's view only.
     std::function<void(const std::string& service, const std::string& upstream)> on_leaving_;
 
     /// Called when the number of this node's calls in flight at an upstream has changed.
--- a/src/core/upstreams/upstream_registry.cpp
+++ b/src/core/upstreams/upstream_registry.cpp
@@ -104,13 +104,17 @@
     return true;
 }
 
-bool upstream_registry::mark_leaving(const std::string& name)
+bool upstream_registry::mark_leaving(const std::string& name, const std::string& incarnation)
 {
     const auto found = entries_.find(name);
-    if (found == entries_.end() || found->second.upstream_.config_.state_ == upstream_state::leaving) {
+    if (found == entries_.end()) {
+        return false;
+    }
+    auto& config = found->second.upstream_.config_;
+    if (config.incarnation_ != incarnation || config.state_ == upstream_state::leaving) {
         return false;
     }
-    found->second.upstream_.config_.state_ = upstream_state::leaving;
+    config.state_ = upstream_state::leaving;
     report_event(kind::leaving, name, 0, "by its own response");
     return true;
 }
--- a/src/core/upstreams/upstream_registry.h
+++ b/src/core/upstreams/upstream_registry.h
@@ -60,9 +60,9 @@
     /// Documents that cannot be parsed are reported through `on_event_`; no exception is thrown for them.
     bool apply(const std::vector<stored_item>& changes);
 
-    /// Marks the registered incarnation of an upstream as leaving, by its own word or that of a peer; its
-    /// entry may say so later or never. Returns false when it is unknown or was leaving already.
-    bool mark_leaving(const std::string& name);
+    /// Marks an incarnation of an upstream as leaving, by its own word or that of a peer; its entry may say
+    /// so later or never. Returns false when it is not the registered one or was leaving already.
+    bool mark_leaving(const std::string& name, const std::string& incarnation);
 
     /// Removes lapsed entries whose grace period has ended. Returns true when it removed any.
     bool drop_lapsed();
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -115,10 +115,10 @@
     };
     engine.on_leaving_ = [this](const std::string& service, const std::string& upstream) {
         peers_.record_leaving(service, upstream);
-        mark_leaving_later(upstream);
+        mark_leaving_later(service, upstream);
     };
-    peers_.on_peer_leaving_ = [this](const std::string&, const std::string& upstream) {
-        mark_leaving_later(upstream);
+    peers_.on_peer_leaving_ = [this](const std::string& service, const std::string& upstream) {
+        mark_leaving_later(service, upstream);
     };
     engine.on_strike_ = [this](std::uint64_t fingerprint, const std::string& upstream) {
         peers_.record_strike(fingerprint, upstream);
@@ -358,10 +358,12 @@
 
 /// The engine and the exchange have stopped using the upstream already. The registry remembers it beyond this
 /// incarnation's entry; it is told later, since the engine must not get a configuration inside its events.
-void registry_node::mark_leaving_later(const std::string& upstream)
+void registry_node::mark_leaving_later(const std::string& service, const std::string& upstream)
 {
-    loop_.defer([this, upstream] {
-        if (registry_.mark_leaving(upstream)) {
+    const auto* tracker = call_path_.engine().find_upstream(service, upstream);
+    const std::string incarnation = tracker == nullptr ? "" : tracker->config().incarnation_;
+    loop_.defer([this, upstream, incarnation] {
+        if (registry_.mark_leaving(upstream, incarnation)) {
             apply_effective_configuration();
         }
     });
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -87,7 +87,7 @@
     [[nodiscard]] page view_page(const std::string& query) const;
     void on_store_changes(const std::vector<stored_item>& changes);
     void apply_effective_configuration();
-    void mark_leaving_later(const std::string& upstream);
+    void mark_leaving_later(const std::string& service, const std::string& upstream);
     void on_terminate();
     page_table control_pages();
     [[nodiscard]] bool ready() const;
--- a/tests/core/call_engine_earliest_finish_test.cpp
+++ b/tests/core/call_engine_earliest_finish_test.cpp
@@ -332,3 +332,16 @@
     CHECK(why.retry_after_ >= 7s);
     CHECK(why.retry_after_ < 8s);
 }
+
+TEST_CASE("an upstream's failure is passed to the caller when every other upstream has asked for a pause")
+{
+    earliest_finish_fixture fixture(2);
+    fixture.send_call(true);
+    response_head pause{503, false, std::nullopt, true};
+    pause.retry_after_ = 5s;
+    fixture.engine_.on_response_started(fixture.last().attempt_, pause);
+    const auto call = fixture.send_call(true);
+    fixture.answer(fixture.last().attempt_, 500);
+    CHECK(fixture.callers_.relayed_.contains(call));
+    CHECK_FALSE(fixture.callers_.rejected_.contains(call));
+}
--- a/tests/core/upstream_registry_test.cpp
+++ b/tests/core/upstream_registry_test.cpp
@@ -159,9 +159,10 @@
         return fixture.registry_.effective().services_.at("log").upstreams_.at("u1").state_;
     };
     fixture.put("u1", "log first active");
-    CHECK(fixture.registry_.mark_leaving("u1"));
-    CHECK_FALSE(fixture.registry_.mark_leaving("u1"));
-    CHECK_FALSE(fixture.registry_.mark_leaving("u2"));
+    CHECK_FALSE(fixture.registry_.mark_leaving("u1", "earlier"));
+    CHECK(fixture.registry_.mark_leaving("u1", "first"));
+    CHECK_FALSE(fixture.registry_.mark_leaving("u1", "first"));
+    CHECK_FALSE(fixture.registry_.mark_leaving("u2", "first"));
     CHECK(state() == upstream_state::leaving);
     fixture.put("u1", "log first active");
     CHECK(state() == upstream_state::leaving);
