--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -166,6 +166,7 @@
     void handle_rate_limits(const peer_message& message, time_point now);
     void divide_rate_limits(time_point now);
     void add_rate_limits(peer_message& message, time_point now) const;
+    void drop_old_leaving(time_point now);
     void handle_leaving(const peer_message& message, time_point now);
     void add_leaving(peer_message& message) const;
     void handle_call_counts(const peer_message& message, last_message& last, bool is_newest);
