Test harness: a stream that is closed when the loop stops is freed with the loop

The end-to-end test "callers of nodes that lost the path to all upstreams are served through the other nodes" passed its 15 checks; LeakSanitizer then reported five streams of libevent (632 bytes each, two buffers each). Cause: a caller frees a closed stream in work that it defers to the next turn of the loop, and only that work freed it. When the loop is stopped in the same turn, deferred work is destroyed without being run. The test stops its loop as soon as the service recovers, which is when callers whose requests hung for their whole deadline close their connections, several in one turn. Ruled out: the proxies' streams, freed at once; the nodes, which are other processes. Change: the deferred work owns what it frees. Load generator and stand-in of the platform had the same pattern (the load generator even stops its loop right after deferring), and get the same change.

--- a/testing/load/main.cpp
+++ b/testing/load/main.cpp
@@ -202,8 +202,9 @@
             call.target_.idle_connections_.push_back(call.connection_);
         }
         else {
-            // Frees the connection outside its own callback.
-            loop_.defer([connection = call.connection_] { evhttp_connection_free(connection); });
+            // Frees the connection outside its own callback, or together with the loop.
+            loop_.defer(
+                [ended = std::shared_ptr<evhttp_connection>(call.connection_, evhttp_connection_free)] {});
         }
         if (finishing_ && pending_calls_ == 0) {
             loop_.stop();
--- a/testing/platform/main.cpp
+++ b/testing/platform/main.cpp
@@ -198,9 +198,10 @@
         }
         const auto found = std::find_if(watches_.begin(), watches_.end(),
                                         [watch](const auto& entry) { return entry.get() == watch; });
-        auto* owned = found->release();
+        // This may run in the watch's own timer callback, so the watch is destroyed after it returns.
+        const std::shared_ptr<waiting_watch> ended = std::move(*found);
         watches_.erase(found);
-        loop_.defer([owned] { delete owned; });
+        loop_.defer([ended] {});
         if (send_reply && request != nullptr) {
             reply_with_entry(request, key);
         }
--- a/testing/test_deployment/caller.cpp
+++ b/testing/test_deployment/caller.cpp
@@ -151,11 +151,13 @@
 
 void caller::end_connection()
 {
-    // A callback of the stream may be on the stack, so the stream is freed after it returns.
-    if (auto* ended = stream_.release()) {
-        bufferevent_setcb(ended, nullptr, nullptr, nullptr, nullptr);
-        bufferevent_disable(ended, EV_READ);
-        loop_.defer([ended] { bufferevent_free(ended); });
+    if (stream_ != nullptr) {
+        // A callback of the stream may be on the stack, so the stream is freed after it returns, or together
+        // with the loop.
+        const std::shared_ptr<bufferevent> ended = std::move(stream_);
+        bufferevent_setcb(ended.get(), nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(ended.get(), EV_READ);
+        loop_.defer([ended] {});
     }
 }
 
