--- a/tests/core/rate_limit_test.cpp
+++ b/tests/core/rate_limit_test.cpp
@@ -21,19 +21,33 @@
     CHECK_FALSE(limit.active());
 }
 
-TEST_CASE("a fleet sends an upstream that limits its rate no more than the limit allows")
+namespace {
+
+/// Size of a fleet and the limit that its upstream u1 names. Types, since Catch makes one test of each, and
+/// ctest runs these side by side.
+template <int Nodes, int LimitTenths>
+struct limited_fleet {
+    static constexpr int nodes = Nodes;
+    static constexpr double limit = LimitTenths / 10.0;
+};
+
+} // namespace
+
+TEMPLATE_PRODUCT_TEST_CASE_SIG("a fleet sends an upstream that limits its rate no more than the limit allows",
+                               "", ((int Nodes, int LimitTenths), Nodes, LimitTenths), limited_fleet,
+                               ((1, 0), (1, 4), (1, 24), (1, 41), (1, 300), (5, 0), (5, 4), (5, 24), (5, 41),
+                                (5, 300), (13, 0), (13, 4), (13, 24), (13, 41), (13, 300), (40, 0), (40, 4),
+                                (40, 24), (40, 41), (40, 300)))
 {
-    const int nodes = GENERATE(1, 5, 13, 40);
-    const double limit = GENERATE(0.0, 0.4, 2.4, 4.1, 30.0);
-    INFO(nodes << " nodes, limit " << limit);
-    called_fleet fleet(nodes, 3);
+    constexpr double limit = TestType::limit;
+    called_fleet fleet(TestType::nodes, 3);
     fleet.set_limit(limit);
     fleet.play(1s, 100);
     fleet.forget();
     fleet.play(10s, 100);
     CHECK(static_cast<double>(fleet.most_in_four_seconds()) <= 1.5 * limit * 4 + 5);
     CHECK(static_cast<double>(fleet.most_in_four_seconds()) >= 0.5 * limit * 4); // Its capacity is used.
-    for (int i = 0; i < nodes; ++i) {
+    for (int i = 0; i < TestType::nodes; ++i) {
         CHECK(fleet.served_share("n" + std::to_string(i)) > 0.98); // The last calls still run.
     }
 
