--- a/bench/core_benchmark.cpp
+++ b/bench/core_benchmark.cpp
@@ -97,7 +97,7 @@
         engine.on_call(request);
         clock.now_ += std::chrono::milliseconds(1);
         const auto attempt = ports.last_attempt_;
-        engine.on_response_started(attempt, {200, false, load_report{1}});
+        engine.on_response_started(attempt, {200, false, false, false, {false, load_report{1}}});
         engine.on_attempt_ended(attempt, attempt_outcome::complete);
     }
 }
--- a/src/adapters/http/header_names.h
+++ b/src/adapters/http/header_names.h
@@ -36,4 +36,7 @@
     int misdirected_status_ = 421;        ///< RFC 9110, section 15.5.20: this instance did not execute it.
 };
 
+/// Returns what an upstream says of itself in the headers of a response with that status.
+self_report parse_self_report(const header_list& headers, int status, const header_names& names);
+
 } // namespace anvilpost
--- a/src/adapters/http/health_prober.cpp
+++ b/src/adapters/http/health_prober.cpp
@@ -15,7 +15,6 @@
 constexpr duration probe_timeout = 150ms;
 constexpr std::size_t max_response_head_bytes = 8UL * 1024;
 constexpr int http_ok = 200;
-constexpr int http_unavailable = 503;
 constexpr int first_final_status = 200;
 
 } // namespace
@@ -37,7 +36,7 @@
 {
     std::map<std::string, probe_target> wanted;
     for (const auto& target : targets) {
-        wanted[target.service_ + "/" + target.upstream_] = target;
+        wanted.insert_or_assign(target.service_ + "/" + target.upstream_, target);
     }
     for (auto entry = probes_.begin(); entry != probes_.end();) {
         const auto found = wanted.find(entry->first);
@@ -141,14 +140,9 @@
         from.reader_ = std::make_unique<message_reader>(message_side::response, max_response_head_bytes);
     }
     const auto& head = from.reader_->head();
-    probe_result result{true, head.status_ == http_ok, !from.answered_before_, std::nullopt};
+    probe_result result{true, head.status_ == http_ok, !from.answered_before_,
+                        parse_self_report(head.headers_, head.status_, names_)};
     from.answered_before_ = true;
-    if (const auto report = find_header(head.headers_, names_.load_)) {
-        result.load_ = names_.parse_load_(*report);
-    }
-    if (head.status_ == http_unavailable) {
-        result.retry_after_ = parse_retry_after(head.headers_);
-    }
     const auto instance = find_header(head.headers_, names_.instance_);
     if (instance && *instance != from.target_.upstream_) {
         result = {}; // Another instance has taken over the address; counts as no response.
--- a/src/adapters/http/health_prober.h
+++ b/src/adapters/http/health_prober.h
@@ -17,6 +17,7 @@
 
 /// An upstream that this node probes.
 struct probe_target {
+    send_permit permit_;
     std::string service_;
     std::string upstream_;
     std::string ip_;
@@ -32,8 +33,7 @@
     bool answered_ = false;
     bool healthy_ = false;
     bool on_new_connection_ = false; ///< It was the first probe on its connection.
-    std::optional<load_report> load_;
-    std::optional<duration> retry_after_{}; ///< With 503: for how long it wants no further request.
+    self_report self_;
 };
 
 /// Probes a set of targets. Invariants: a target has at most one probe in flight; the period is measured
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -149,9 +149,8 @@
             [this, id = order.attempt_] { engine_->on_attempt_ended(id, attempt_outcome::not_sent); });
         return;
     }
-    auto owned = std::make_unique<attempt>();
+    auto owned = std::make_unique<attempt>(attempt{order});
     attempt& current = *owned;
-    current.order_ = order;
     current.request_id_ = request->request_id_;
     current.head_request_ = request->method_ == "HEAD";
     current.connection_ = take_connection(order);
@@ -358,18 +357,10 @@
 {
     response_head converted;
     converted.status_ = head.status_;
-    const auto leaving = names_.leaving_.empty() ? std::nullopt : find_header(head.headers_, names_.leaving_);
-    converted.upstream_is_leaving_ = leaving && *leaving != "0";
     converted.misdirected_ = !names_.expected_instance_.empty() && head.status_ == names_.misdirected_status_;
     converted.not_run_ = converted.misdirected_ || (!names_.not_run_.empty() &&
                                                     find_header(head.headers_, names_.not_run_).has_value());
-    if (head.status_ == service_unavailable) {
-        converted.retry_after_ = parse_retry_after(head.headers_);
-    }
-    converted.rate_limit_ = parse_rate_limit(head.headers_, names_.rate_limit_);
-    if (const auto report = find_header(head.headers_, names_.load_)) {
-        converted.load_ = names_.parse_load_(*report);
-    }
+    converted.self_ = parse_self_report(head.headers_, head.status_, names_);
     return converted;
 }
 
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -99,10 +99,10 @@
 
     struct attempt {
         attempt_order order_;
-        std::string request_id_;
-        connection_ptr connection_;
-        std::unique_ptr<message_reader> reader_;
-        std::unique_ptr<timer> hold_timer_;
+        std::string request_id_{};
+        connection_ptr connection_{};
+        std::unique_ptr<message_reader> reader_{};
+        std::unique_ptr<timer> hold_timer_{};
         bool head_request_ = false;
         bool on_new_connection_ = false;
         bool forwarding_started_ = false; ///< The engine was told of the response; the body is forwarded.
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -146,12 +146,16 @@
         service->reserved_for_timely_calls(state.call_, *upstream, now())) {
         return false;
     }
-    start_attempt(state, *service, *upstream, need);
+    const auto permit = upstream->gate().take(send_purpose::call, now());
+    if (!permit) {
+        return false;
+    }
+    start_attempt(state, *service, *upstream, need, *permit);
     return true;
 }
 
 void call_engine::start_attempt(call_state& state, service_state& service, upstream_tracker& upstream,
-                                connection_need need)
+                                connection_need need, const send_permit& permit)
 {
     const attempt_id attempt{next_attempt_++};
     const bool first = state.attempts_made_ == 0;
@@ -166,7 +170,6 @@
                           "",
                           0};
     upstream.on_started();
-    upstream.limit().on_sent(now());
     state.phase_ = phase::running;
     state.active_.push_back(attempt);
     state.tried_.insert(upstream.name());
@@ -179,8 +182,8 @@
         on_in_flight_changed_(service.name(), upstream.name());
     }
     const bool needs_recent_connection = !state.call_.repeatable_ && need == connection_need::any;
-    ports_.upstreams_.start({attempt, state.call_.id_, service.name(), upstream.name(), upstream.config().ip_,
-                             upstream.config().port_,
+    ports_.upstreams_.start({permit, attempt, state.call_.id_, service.name(), upstream.name(),
+                             upstream.config().ip_, upstream.config().port_,
                              needs_recent_connection ? connection_need::recently_used : need,
                              service.connection_limit(), state.call_.deadline_ - now()});
 }
@@ -194,11 +197,9 @@
     if (upstream == nullptr) {
         return;
     }
-    if ((head.upstream_is_leaving_ || head.misdirected_) && !upstream->leaving()) {
-        upstream->mark_leaving(leaving_source::upstream_itself);
-        if (head.upstream_is_leaving_ && on_leaving_) {
-            on_leaving_(answered.service_, answered.upstream_);
-        }
+    apply_self_report(*service, *upstream, head.self_, head.status_ < 500, answered.started_);
+    if (head.misdirected_) {
+        upstream->gate().mark_leaving(leaving_source::upstream_itself);
     }
     const auto latency = now() - answered.started_;
     if (head.not_run_) {
@@ -213,16 +214,9 @@
         service->learn_work(state.call_, *upstream, answered.running_at_start_,
                             upstream->cumulative_work(now()) - answered.cumulative_work_at_start_);
     }
-    if (head.retry_after_) {
-        upstream->hold_until(now() + *head.retry_after_);
-    }
-    if (upstream->limit().on_response(head.rate_limit_, head.status_ < 500, answered.started_, now())) {
-        ports_.observer_.on_rate_limit_changed(answered.service_, answered.upstream_,
-                                               upstream->limit().latest().per_second_);
-    }
-    if (head.load_) {
-        service->on_load(*upstream, *head.load_, now());
-        ports_.observer_.on_load_reported(answered.service_, answered.upstream_, *head.load_);
+    if (head.self_.load_) {
+        service->on_load(*upstream, *head.self_.load_, now());
+        ports_.observer_.on_load_reported(answered.service_, answered.upstream_, *head.self_.load_);
     }
 }
 
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -106,8 +106,9 @@
     /// Adds calls that an upstream served and failed for another node.
     void on_peer_outcomes(const std::string& service, const std::string& upstream, int served, int failed);
 
-    /// An upstream asked in its response to a probe of this node for a pause.
-    void on_retry_after(const std::string& service, const std::string& upstream, duration pause);
+    /// Applies what an upstream says of itself in its response to a probe of this node, except its load,
+    /// which `on_load` applies. That it names no rate limit ends none.
+    void on_probe_report(const std::string& service, const std::string& upstream, const self_report& report);
 
     /// Another node learnt of a new rate limit of an upstream, or of its end.
     void on_peer_rate_limit(const std::string& service, const std::string& upstream,
@@ -225,10 +226,12 @@
     std::chrono::milliseconds retry_after(const service_state* service);
     void relay_response(call_state& state, attempt_id attempt, const response_head& head);
     void record_outcome(const attempt_state& answered, const call_state& state, const response_head& head);
+    void apply_self_report(const service_state& service, upstream_tracker& upstream,
+                           const self_report& report, bool served, time_point sent_at);
     void report_decision(decision_kind kind, const call_state& state, const upstream_tracker* upstream,
                          std::string reason);
     void start_attempt(call_state& state, service_state& service, upstream_tracker& upstream,
-                       connection_need need);
+                       connection_need need, const send_permit& permit);
 
     /// Handles the failure of a call's attempt: does nothing while another attempt of the call runs, else
     /// starts or queues a retry, or rejects the call with the given problem.
--- a/src/core/calls/call_engine_forwarding.cpp
+++ b/src/core/calls/call_engine_forwarding.cpp
@@ -41,7 +41,7 @@
     state.attempts_made_ = state.call_.max_attempts_;
     state.hedge_at_.reset();
     schedule_wakeup(state);
-    attempt_order order;
+    attempt_order order{send_permit::to_peer()};
     order.attempt_ = attempt;
     order.call_ = state.call_.id_;
     order.service_ = state.call_.service_;
--- a/src/core/calls/call_engine_reports.cpp
+++ b/src/core/calls/call_engine_reports.cpp
@@ -49,7 +49,7 @@
         return;
     }
     if (auto* tracker = state->find(upstream)) {
-        tracker->mark_leaving(source);
+        tracker->gate().mark_leaving(source);
     }
     start_waiting_calls(*state);
 }
@@ -116,10 +116,24 @@
     }
 }
 
-void call_engine::on_retry_after(const std::string& service, const std::string& upstream, duration pause)
+void call_engine::apply_self_report(const service_state& service, upstream_tracker& upstream,
+                                    const self_report& report, bool served, time_point sent_at)
+{
+    const auto changed = upstream.gate().on_report(report, served, sent_at, now());
+    if (changed.leaving_ && on_leaving_) {
+        on_leaving_(service.name(), upstream.name());
+    }
+    if (changed.rate_limit_) {
+        ports_.observer_.on_rate_limit_changed(service.name(), upstream.name(),
+                                               upstream.gate().limit().latest().per_second_);
+    }
+}
+
+void call_engine::on_probe_report(const std::string& service, const std::string& upstream,
+                                  const self_report& report)
 {
     if (auto* tracker = find_upstream(service, upstream)) {
-        tracker->hold_until(now() + pause);
+        apply_self_report(*find_service(service), *tracker, report, false, now());
     }
 }
 
@@ -127,7 +141,7 @@
                                      const rate_limit_notice& notice)
 {
     if (auto* tracker = find_upstream(service, upstream)) {
-        tracker->limit().apply(notice, now());
+        tracker->gate().on_peer_limit(notice, now());
     }
 }
 
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -114,8 +114,7 @@
 
 bool service_state::has_room(const upstream_tracker& upstream, time_point now) const
 {
-    if (!upstream.receives_calls() || upstream.in_flight() >= connection_limit() ||
-        !upstream.limit().allows(now) || now < upstream.held_until()) {
+    if (upstream.in_flight() >= connection_limit() || upstream.gate().obstacle(send_purpose::call, now)) {
         return false;
     }
     if (uses_earliest_finish()) {
@@ -250,7 +249,7 @@
     auto earliest = time_point::max();
     for (const auto& [name, tracker] : upstreams_) {
         if (tracker->receives_calls() && !tried.contains(name)) {
-            earliest = std::min(earliest, tracker->held_until());
+            earliest = std::min(earliest, tracker->gate().paused_until());
         }
     }
     return earliest == time_point::max() ? time_point{} : earliest;
@@ -314,7 +313,7 @@
 double service_state::usable_slots(const upstream_tracker& upstream) const
 {
     const double slots = upstream.slots(config_.policy_.slots_);
-    const auto limit = upstream.limit().latest().per_second_;
+    const auto limit = upstream.gate().limit().latest().per_second_;
     const std::chrono::duration<double> latency = latencies_.median();
     return limit ? std::min(slots, *limit * latency.count()) : slots;
 }
--- a/src/core/fleet/peer_exchange_notices.cpp
+++ b/src/core/fleet/peer_exchange_notices.cpp
@@ -31,7 +31,7 @@
     rate_limited_.clear();
     for (const auto& [service, state] : ports_.engine_.services()) {
         for (const auto& [name, tracker] : state.upstreams()) {
-            const auto& latest = tracker->limit().latest();
+            const auto& latest = tracker->gate().limit().latest();
             const bool known_lately =
                 latest.learnt_at_ != time_point{} && now - latest.learnt_at_ <= ended_limit_propagation_time;
             if (!latest.per_second_ && !known_lately) {
@@ -43,7 +43,7 @@
             }
             const double share = duties_.share_of(name, tracker->config().data_centre_,
                                                   rate_limit_sharers(latest.per_second_.value_or(0)), now);
-            tracker->limit().set_share(share, now);
+            tracker->gate().set_limit_share(share, now);
         }
     }
 }
@@ -57,7 +57,7 @@
         if (tracker == nullptr) {
             continue;
         }
-        const auto& latest = tracker->limit().latest();
+        const auto& latest = tracker->gate().limit().latest();
         const duration age = now - latest.learnt_at_;
         by_age.push_back({age, {key, latest.per_second_, age}});
     }
--- a/src/core/upstreams/probe_scheduler.cpp
+++ b/src/core/upstreams/probe_scheduler.cpp
@@ -18,8 +18,7 @@
 bool needs_probe(const upstream_tracker& upstream, time_point now)
 {
     const bool idle = now - upstream.last_response() > idle_time_before_probe;
-    return upstream.receives_calls() && upstream.in_flight() == 0 &&
-           (idle || upstream.consecutive_failures() > 0);
+    return upstream.in_flight() == 0 && (idle || upstream.consecutive_failures() > 0);
 }
 
 } // namespace
@@ -63,22 +62,26 @@
     if (members.live(now).size() + 1 > static_cast<std::size_t>(fleet.max_nodes_)) {
         return std::nullopt;
     }
-    const upstream_tracker* chosen = nullptr;
+    upstream_tracker* chosen = nullptr;
     for (const auto& [name, upstream] : service.upstreams()) {
-        if (!needs_probe(*upstream, now) || !members.responsible_for(service.name() + "/" + name, now)) {
+        if (!needs_probe(*upstream, now) || upstream->gate().obstacle(send_purpose::health_probe, now) ||
+            !members.responsible_for(service.name() + "/" + name, now)) {
             continue;
         }
         if (chosen == nullptr || upstream->last_response() < chosen->last_response()) {
             chosen = upstream.get();
         }
     }
-    if (chosen == nullptr) {
+    const auto permit =
+        chosen == nullptr ? std::nullopt : chosen->gate().take(send_purpose::health_probe, now);
+    if (!permit) {
         return std::nullopt;
     }
     timing.in_progress_ = true;
     ++sent_[service.name()];
     const auto& hosts = service.config().hosts_;
-    return probe_request{service.name(),
+    return probe_request{*permit,
+                         service.name(),
                          chosen->name(),
                          chosen->config().ip_,
                          chosen->config().port_,
--- a/src/core/upstreams/probe_scheduler.h
+++ b/src/core/upstreams/probe_scheduler.h
@@ -25,6 +25,7 @@
 
 /// A probe to send: an HTTP request for `path_` to `ip_` and `port_`, with the Host header `host_`.
 struct probe_request {
+    send_permit permit_;
     std::string service_;
     std::string upstream_;
     std::string ip_;
--- /dev/null
+++ b/src/core/upstreams/send_gate.cpp
@@ -0,0 +1,70 @@
+// Implements the decision whether a request may be sent to an upstream.
+#include "core/upstreams/send_gate.h"
+
+#include <algorithm>
+
+namespace anvilpost {
+
+send_gate::changes send_gate::on_report(const self_report& report, bool served, time_point sent_at,
+                                        time_point now)
+{
+    changes changed;
+    if (report.leaving_) {
+        changed.leaving_ = !reason_for_leaving();
+        mark_leaving(leaving_source::upstream_itself);
+    }
+    if (report.retry_after_) {
+        paused_until_ = std::max(paused_until_, now + *report.retry_after_);
+    }
+    changed.rate_limit_ = limit_.on_response(report.rate_limit_, served, sent_at, now);
+    return changed;
+}
+
+void send_gate::set_configured(bool listed, upstream_state state)
+{
+    listed_ = listed;
+    leaves_by_configuration_ = state == upstream_state::leaving || state == upstream_state::stopping;
+}
+
+void send_gate::mark_leaving(leaving_source source)
+{
+    if (source != leaving_source::configuration && !sticky_leaving_) {
+        sticky_leaving_ = source;
+    }
+}
+
+std::optional<leaving_source> send_gate::reason_for_leaving() const
+{
+    return leaves_by_configuration_ ? std::optional(leaving_source::configuration) : sticky_leaving_;
+}
+
+std::optional<send_obstacle> send_gate::obstacle(send_purpose purpose, time_point now) const
+{
+    if (!listed_) {
+        return send_obstacle::unlisted;
+    }
+    if (reason_for_leaving()) {
+        return send_obstacle::leaving;
+    }
+    if (now < paused_until_) {
+        return send_obstacle::retry_after;
+    }
+    // Health probes would use up the few requests that an upstream in need accepts; its responses to calls
+    // tell its load.
+    const bool limited = (purpose == send_purpose::call && !limit_.allows(now)) ||
+                         (purpose == send_purpose::health_probe && limit_.active());
+    return limited ? std::optional(send_obstacle::rate_limit) : std::nullopt;
+}
+
+std::optional<send_permit> send_gate::take(send_purpose purpose, time_point now)
+{
+    if (obstacle(purpose, now)) {
+        return std::nullopt;
+    }
+    if (purpose == send_purpose::call) {
+        limit_.on_sent(now);
+    }
+    return send_permit{};
+}
+
+} // namespace anvilpost
--- a/src/core/upstreams/upstream_tracker.cpp
+++ b/src/core/upstreams/upstream_tracker.cpp
@@ -54,7 +54,8 @@
 void upstream_tracker::reset(const upstream_config& config, time_point now)
 {
     config_ = config;
-    sticky_leaving_.reset();
+    gate_ = {};
+    gate_.set_configured(listed_, config.state_);
     consecutive_failures_ = 0;
     ejected_until_ = {};
     last_response_ = now;
@@ -74,8 +75,6 @@
     consecutive_unreachable_ = 0;
     reported_unhealthy_ = false;
     warm_up_ends_at_ = now + config.warm_up_;
-    limit_ = {};
-    held_until_ = {};
 }
 
 void upstream_tracker::configure(const upstream_config& config, time_point now)
@@ -90,26 +89,13 @@
     }
     config_ = config;
     listed_ = true;
+    gate_.set_configured(listed_, config.state_);
 }
 
-void upstream_tracker::mark_leaving(leaving_source source)
+void upstream_tracker::mark_unlisted()
 {
-    if (source != leaving_source::configuration && !sticky_leaving_) {
-        sticky_leaving_ = source;
-    }
-}
-
-bool upstream_tracker::leaving() const
-{
-    return reason_for_leaving().has_value();
-}
-
-std::optional<leaving_source> upstream_tracker::reason_for_leaving() const
-{
-    if (config_.state_ == upstream_state::leaving || config_.state_ == upstream_state::stopping) {
-        return leaving_source::configuration;
-    }
-    return sticky_leaving_;
+    listed_ = false;
+    gate_.set_configured(listed_, config_.state_);
 }
 
 void upstream_tracker::update_smoothed_latency(duration sample, time_point now)
@@ -131,8 +117,8 @@
     ++own_calls_served_;
     count_outcomes(1, 0, now);
     reported_unhealthy_ = false;
-    if (head.load_) {
-        on_load(*head.load_, now);
+    if (head.self_.load_) {
+        on_load(*head.self_.load_, now);
     }
 }
 
--- a/src/core/upstreams/upstream_tracker.h
+++ b/src/core/upstreams/upstream_tracker.h
@@ -1,9 +1,9 @@
 // Tracks what one node knows about one upstream: this node's calls in flight there, its latency, its
-// failures, its last load report, and whether it is leaving.
+// failures, its last load report, and whether it may be sent requests.
 #pragma once
 
 #include "core/configuration/configuration.h"
-#include "core/upstreams/rate_limit.h"
+#include "core/upstreams/send_gate.h"
 #include "vocabulary/call.h"
 
 #include <algorithm>
@@ -13,21 +13,7 @@
 
 namespace anvilpost {
 
-/// Source from which a node learned that an upstream is leaving.
-enum class leaving_source { configuration, vm_list, upstream_itself, peer };
-
-template <>
-struct enum_names<leaving_source> {
-    static constexpr std::array<std::pair<leaving_source, std::string_view>, 4> table{{
-        {leaving_source::configuration, "configuration"},
-        {leaving_source::vm_list, "vm_list"},
-        {leaving_source::upstream_itself, "upstream_itself"},
-        {leaving_source::peer, "peer"},
-    }};
-};
-
-/// Invariants: `in_flight() >= 0`; once marked as leaving by a source other than the configuration, the
-/// tracker stays leaving until `reset` for a new incarnation.
+/// Invariants: `in_flight() >= 0`; the gate is replaced by `reset`, for a new incarnation.
 class upstream_tracker {
 public:
     upstream_tracker(std::string name, const upstream_config& config, time_point now);
@@ -37,11 +23,11 @@
     void configure(const upstream_config& config, time_point now);
 
     /// Marks the upstream as removed from the configuration; it only finishes its calls in flight.
-    void mark_unlisted() { listed_ = false; }
+    void mark_unlisted();
 
-    /// Marks the upstream as leaving. Has no effect for `leaving_source::configuration`, which is read from
-    /// the settings instead.
-    void mark_leaving(leaving_source source);
+    /// What the upstream says of itself, and whether it may be sent a request now.
+    [[nodiscard]] send_gate& gate() { return gate_; }
+    [[nodiscard]] const send_gate& gate() const { return gate_; }
 
     /// Sets the number of slots of the upstream that this node owns; see slot_ownership.h.
     void set_owned_slots(int count) { owned_slots_ = count; }
@@ -80,14 +66,6 @@
         count_outcomes(0, 1, now);
     }
 
-    /// The upstream's rate limit, as this incarnation or its responses to other nodes named it.
-    [[nodiscard]] rate_limit& limit() { return limit_; }
-    [[nodiscard]] const rate_limit& limit() const { return limit_; }
-
-    /// The upstream wants no further request from this node until then.
-    void hold_until(time_point end) { held_until_ = std::max(held_until_, end); }
-    [[nodiscard]] time_point held_until() const { return held_until_; }
-
     /// Records that a probe or a response showed that the upstream works, which ends its ejection.
     void on_success(time_point now);
 
@@ -95,11 +73,8 @@
     [[nodiscard]] const upstream_config& config() const { return config_; }
     [[nodiscard]] bool listed() const { return listed_; }
     [[nodiscard]] int in_flight() const { return in_flight_; }
-    [[nodiscard]] bool leaving() const;
-    [[nodiscard]] std::optional<leaving_source> reason_for_leaving() const;
-
-    /// True when new calls may be sent to the upstream.
-    [[nodiscard]] bool receives_calls() const { return listed_ && !leaving(); }
+    [[nodiscard]] bool leaving() const { return gate_.reason_for_leaving().has_value(); }
+    [[nodiscard]] bool receives_calls() const { return gate_.receives_calls(); }
 
     /// True while the upstream is excluded for consecutive failures. After the ejection time, one call at a
     /// time is let through.
@@ -162,7 +137,7 @@
     std::string name_;
     upstream_config config_;
     bool listed_ = true;
-    std::optional<leaving_source> sticky_leaving_; ///< Kept until `reset`; never `configuration`.
+    send_gate gate_;
     int in_flight_ = 0;
     int owned_slots_ = 0;
     int consecutive_failures_ = 0;
@@ -196,8 +171,6 @@
     int consecutive_unreachable_ = 0;
     bool reported_unhealthy_ = false;
     time_point warm_up_ends_at_{};
-    rate_limit limit_;
-    time_point held_until_{};
 };
 
 } // namespace anvilpost
--- a/src/daemon/call_path.cpp
+++ b/src/daemon/call_path.cpp
@@ -124,18 +124,19 @@
             row["failure_rate"] = upstream->failure_rate(clock_.now());
             row["ejected"] = upstream->ejected(clock_.now());
             row["leaving"] = upstream->leaving();
-            if (upstream->held_until() > clock_.now()) {
+            const auto& gate = upstream->gate();
+            if (gate.paused_until() > clock_.now()) {
                 row["wants_requests_in_ms"] =
-                    std::chrono::duration<double, std::milli>(upstream->held_until() - clock_.now()).count();
+                    std::chrono::duration<double, std::milli>(gate.paused_until() - clock_.now()).count();
             }
-            if (const auto limit = upstream->limit().latest().per_second_) {
+            if (const auto limit = gate.limit().latest().per_second_) {
                 row["rate_limit_per_second"] = *limit;
             }
             if (const auto report_time = upstream->report_time()) {
                 row["report_age_ms"] =
                     std::chrono::duration<double, std::milli>(clock_.now() - *report_time).count();
             }
-            if (const auto reason = upstream->reason_for_leaving()) {
+            if (const auto reason = gate.reason_for_leaving()) {
                 row["leaving_because"] = name_of(*reason);
             }
         }
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -212,13 +212,12 @@
                      duration(static_cast<duration::rep>(microseconds_per_second / per_second)));
         for (const auto& [name, upstream] : service.upstreams()) {
             const auto& config = upstream->config();
-            // Probes would use up the few requests that an upstream in need accepts; its responses to calls
-            // tell its load.
-            const bool wants_probes = upstream->receives_calls() && !upstream->limit().active() &&
-                                      upstream->held_until() <= clock_.now();
-            if (wants_probes && peers_.duties().probes(name, config.data_centre_)) {
+            const auto permit = peers_.duties().probes(name, config.data_centre_)
+                                    ? upstream->gate().take(send_purpose::health_probe, clock_.now())
+                                    : std::nullopt;
+            if (permit) {
                 targets.push_back(
-                    {service_name, name, config.ip_, config.port_, policy.health_path_, period});
+                    {*permit, service_name, name, config.ip_, config.port_, policy.health_path_, period});
             }
         }
     }
@@ -238,14 +237,14 @@
     struct candidate {
         std::uint64_t rank_ = 0;
         const service_state* service_ = nullptr;
-        const upstream_tracker* upstream_ = nullptr;
+        upstream_tracker* upstream_ = nullptr;
     };
     std::vector<candidate> candidates;
     const auto own_seed = stable_hash(settings_.node_);
     for (const auto& [unused, service] : engine.services()) {
         for (const auto& [name, upstream] : service.upstreams()) {
-            const bool wants_probes = upstream->receives_calls() && upstream->held_until() <= clock_.now();
-            if (wants_probes && service.config().policy_.probes_per_second_ > 0) {
+            const bool may_probe = !upstream->gate().obstacle(send_purpose::reachability_probe, clock_.now());
+            if (may_probe && service.config().policy_.probes_per_second_ > 0) {
                 candidates.push_back({stable_hash(name, own_seed), &service, upstream.get()});
             }
         }
@@ -254,17 +253,18 @@
               [](const candidate& a, const candidate& b) { return a.rank_ < b.rank_; });
     for (const auto& chosen : candidates) {
         const auto& service = *chosen.service_;
-        const auto& upstream = *chosen.upstream_;
+        auto& upstream = *chosen.upstream_;
         const bool probed = std::any_of(targets.begin(), targets.end(), [&](const probe_target& target) {
             return target.service_ == service.name() && target.upstream_ == upstream.name();
         });
-        if (probed) {
+        const auto permit = upstream.gate().take(send_purpose::reachability_probe, clock_.now());
+        if (probed || !permit) {
             continue;
         }
-        const auto period =
-            upstream.limit().active() ? reachability_probe_period_of_limited : reachability_probe_period;
-        targets.push_back({service.name(), upstream.name(), upstream.config().ip_, upstream.config().port_,
-                           service.config().policy_.health_path_, period});
+        const auto period = upstream.gate().limit().active() ? reachability_probe_period_of_limited
+                                                             : reachability_probe_period;
+        targets.push_back({*permit, service.name(), upstream.name(), upstream.config().ip_,
+                           upstream.config().port_, service.config().policy_.health_path_, period});
         if (targets.size() >= reachability_probe_targets) {
             return;
         }
@@ -276,7 +276,7 @@
     auto& engine = call_path_.engine();
     const auto now = clock_.now();
     const auto* upstream = engine.find_upstream(target.service_, target.upstream_);
-    probes_of_limited_upstreams_ += upstream != nullptr && upstream->limit().active() ? 1 : 0;
+    probes_of_limited_upstreams_ += upstream != nullptr && upstream->gate().limit().active() ? 1 : 0;
     engine.on_probe(target.service_, target.upstream_, result.answered_, result.healthy_, now);
     if (result.answered_) {
         engine.reachability().on_response(result.on_new_connection_);
@@ -289,12 +289,10 @@
         }
         return;
     }
-    if (result.retry_after_) {
-        engine.on_retry_after(target.service_, target.upstream_, *result.retry_after_);
-    }
-    if (result.load_) {
-        engine.on_load(target.service_, target.upstream_, *result.load_, now);
-        peers_.record_load(target.service_, target.upstream_, *result.load_, result.healthy_, true);
+    engine.on_probe_report(target.service_, target.upstream_, result.self_);
+    if (result.self_.load_) {
+        engine.on_load(target.service_, target.upstream_, *result.self_.load_, now);
+        peers_.record_load(target.service_, target.upstream_, *result.self_.load_, result.healthy_, true);
         engine.apply_loads();
     }
 }
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -4,6 +4,7 @@
 
 #include "vocabulary/core_clock.h"
 #include "vocabulary/enum_names.h"
+#include "vocabulary/send_permit.h"
 #include "vocabulary/verdict.h"
 
 #include <array>
@@ -43,11 +44,12 @@
 
 /// Instruction to send a call's request to an upstream, or to another node that passes it to one.
 struct attempt_order {
+    send_permit permit_;
     attempt_id attempt_{};
     call_id call_{};
-    std::string service_;
-    std::string upstream_;
-    std::string ip_;
+    std::string service_{};
+    std::string upstream_{};
+    std::string ip_{};
     std::uint16_t port_ = 0;
     connection_need connection_ = connection_need::any;
     int connection_limit_ = 1; ///< Maximum number of connections from this node to the upstream.
@@ -63,18 +65,23 @@
     std::optional<double> slowdown_{}; ///< Present duration of work there as a multiple of the usual one.
 };
 
+/// What an upstream says of itself in the head of any response, to a call or to a probe.
+struct self_report {
+    bool leaving_ = false; ///< It is about to stop and wants no new requests.
+    std::optional<load_report> load_{};
+    /// With a refusal: for how long it wants no further request from this node.
+    std::optional<duration> retry_after_{};
+    /// Requests per second that it accepts from all nodes together; empty: it names no limit.
+    std::optional<double> rate_limit_{};
+};
+
 /// The parts of an upstream's status line and headers that the core needs.
 struct response_head {
     int status_ = 0;
-    bool upstream_is_leaving_ = false; ///< The upstream is about to stop and wants no new requests.
-    std::optional<load_report> load_;
     bool not_run_ = false;           ///< The upstream states that it did not run the request.
     bool misdirected_ = false;       ///< A different instance answered at the upstream's address.
     bool on_new_connection_ = false; ///< The connection was opened for this attempt.
-    /// With a refusal: for how long the upstream wants no further request from this node.
-    std::optional<duration> retry_after_{};
-    /// Requests per second that the upstream accepts from all nodes together; empty: it names no limit.
-    std::optional<double> rate_limit_{};
+    self_report self_{};
 };
 
 /// How an attempt ended.
--- a/testing/emulator/emulated_fleet.cpp
+++ b/testing/emulator/emulated_fleet.cpp
@@ -232,7 +232,7 @@
     constexpr int unavailable = 503;
     fleet_.upstream_rejections_ += run ? 0 : 1;
     exchange_.record_load(service_name, "u" + std::to_string(upstream), load, true, false);
-    engine_.on_response_started(attempt, {run ? ok : unavailable, false, load, !run, false});
+    engine_.on_response_started(attempt, {run ? ok : unavailable, !run, false, false, {false, load}});
     if (run) {
         engine_.on_attempt_ended(attempt, attempt_outcome::complete);
     }
--- a/testing/scenario/simulation.cpp
+++ b/testing/scenario/simulation.cpp
@@ -214,7 +214,7 @@
 
     void start(const attempt_order& order) override
     {
-        orders_[order.attempt_] = order;
+        orders_.insert_or_assign(order.attempt_, order);
         simulation_.time_.schedule_after(network_delay, [this, order] { arrive(order); });
     }
 
@@ -321,9 +321,10 @@
                     return;
                 }
                 if (outcome == attempt_outcome::complete) {
-                    const bool leaving =
+                    response_head head{status};
+                    head.self_.leaving_ =
                         simulation_.upstreams_.at(found->second.upstream_)->condition_.draining_;
-                    engine_.on_response_started(attempt, {status, leaving, std::nullopt});
+                    engine_.on_response_started(attempt, head);
                 }
                 if (orders_.erase(attempt) > 0) {
                     engine_.on_attempt_ended(attempt, outcome);
--- a/tests/core/call_engine_earliest_finish_test.cpp
+++ b/tests/core/call_engine_earliest_finish_test.cpp
@@ -1,69 +1,13 @@
 // Tests of the call engine with the earliest-finish picker, which chooses upstreams by their reported speed
 // and load: upstreams that are several times slower than usual, calls near and above capacity, and refusals
 // by upstreams.
-#include "core/fakes.h"
+#include "core/earliest_finish_fixture.h"
 
 #include <catch2/catch.hpp>
 
 using namespace anvilpost;
 using namespace anvilpost::testing;
 
-namespace {
-
-/// An engine with the earliest-finish picker for its service "desk", whose upstreams u1, u2, ... report their
-/// load and slowdown.
-struct earliest_finish_fixture : public engine_fixture {
-    explicit earliest_finish_fixture(int upstreams, int slots = 6) : engine_fixture(upstreams, slots)
-    {
-        auto& policy = config_.services_["desk"].policy_;
-        policy.picker_ = picker_kind::earliest_finish;
-        policy.shared_retry_budget_ = true;
-        policy.retry_share_ = 0.2;
-        policy.retry_budget_slack_ = 100;
-        policy.queue_length_ = 1000;
-        ++config_.revision_;
-        engine_.apply(config_);
-        for (int i = 1; i <= upstreams; ++i) {
-            report_load("u" + std::to_string(i), 1.0, 0, slots);
-        }
-    }
-
-    void report_load(const std::string& upstream, double slowdown, double in_flight = 0, int slots = 6)
-    {
-        engine_.on_load("desk", upstream, {in_flight, slots, slowdown}, clock_.now());
-    }
-
-    call_id send_call(bool repeatable, duration objective = 300ms, duration timeout = 2s, int priority = 0)
-    {
-        call request;
-        request.id_ = call_id{next_call_++};
-        request.service_ = "desk";
-        request.route_ = "desk";
-        request.repeatable_ = repeatable;
-        request.priority_ = priority;
-        request.max_attempts_ = 2;
-        request.fingerprint_ = static_cast<std::uint64_t>(request.id_);
-        request.arrival_ = clock_.now();
-        request.objective_ = clock_.now() + objective;
-        request.deadline_ = clock_.now() + timeout;
-        engine_.on_call(request);
-        return request.id_;
-    }
-
-    /// Delivers a response in which the upstream of `attempt` states that it did not run the request.
-    void refuse(attempt_id attempt)
-    {
-        response_head head;
-        head.status_ = 503;
-        head.not_run_ = true;
-        engine_.on_response_started(attempt, head);
-    }
-
-    [[nodiscard]] const attempt_order& last() const { return upstreams_.last(); }
-};
-
-} // namespace
-
 TEST_CASE("calls go to the upstream with the lowest reported slowdown")
 {
     earliest_finish_fixture fixture(3);
@@ -287,8 +231,8 @@
     earliest_finish_fixture fixture(2);
     fixture.send_call(true);
     const auto held = fixture.last().upstream_;
-    response_head head{503, false, std::nullopt, true};
-    head.retry_after_ = 2s;
+    response_head head{503, true};
+    head.self_.retry_after_ = 2s;
     fixture.engine_.on_response_started(fixture.last().attempt_, head);
     REQUIRE(fixture.last().upstream_ != held);
     for (int i = 0; i < 19; ++i) {
@@ -317,10 +261,10 @@
     }
     const auto waiting = fixture.send_call(true);
     REQUIRE(fixture.upstreams_.started_.size() == 2);
-    response_head head{503, false, std::nullopt, true};
-    head.retry_after_ = 8s;
+    response_head head{503, true};
+    head.self_.retry_after_ = 8s;
     fixture.engine_.on_response_started(open[0].attempt_, head);
-    head.retry_after_ = 7s;
+    head.self_.retry_after_ = 7s;
     fixture.engine_.on_response_started(open[1].attempt_, head);
     REQUIRE(fixture.upstreams_.started_.size() == 2);
     REQUIRE(fixture.callers_.rejected_.contains(waiting));
@@ -337,8 +281,8 @@
 {
     earliest_finish_fixture fixture(2);
     fixture.send_call(true);
-    response_head pause{503, false, std::nullopt, true};
-    pause.retry_after_ = 5s;
+    response_head pause{503, true};
+    pause.self_.retry_after_ = 5s;
     fixture.engine_.on_response_started(fixture.last().attempt_, pause);
     const auto call = fixture.send_call(true);
     fixture.answer(fixture.last().attempt_, 500);
--- a/tests/core/call_engine_test.cpp
+++ b/tests/core/call_engine_test.cpp
@@ -218,7 +218,7 @@
     engine_fixture fixture;
     const auto call = fixture.send(true);
     const auto attempt = fixture.upstreams_.last().attempt_;
-    fixture.engine_.on_response_started(attempt, {200, false, std::nullopt});
+    fixture.engine_.on_response_started(attempt, {200});
     fixture.engine_.on_attempt_ended(attempt, attempt_outcome::broken_answer);
     REQUIRE(fixture.callers_.aborted_ == std::vector<call_id>{call});
     REQUIRE(fixture.upstreams_.started_.size() == 1);
@@ -267,7 +267,7 @@
     REQUIRE(fixture.observer_.records_[0].status_ == 200);
     fixture.send(true);
     const auto attempt = fixture.upstreams_.last().attempt_;
-    fixture.engine_.on_response_started(attempt, {200, false, std::nullopt});
+    fixture.engine_.on_response_started(attempt, {200});
     REQUIRE(fixture.observer_.records_.size() == 1);
     fixture.engine_.on_attempt_ended(attempt, attempt_outcome::broken_answer);
     REQUIRE(fixture.observer_.records_.size() == 2);
--- a/tests/core/called_fleet.h
+++ b/tests/core/called_fleet.h
@@ -225,7 +225,7 @@
         response_head head;
         head.status_ = 200;
         if (done.order_.upstream_ == "u1") {
-            head.rate_limit_ = limit_;
+            head.self_.rate_limit_ = limit_;
         }
         deliver_response(*done.node_, done.order_.attempt_, head);
     }
--- a/tests/core/fakes.h
+++ b/tests/core/fakes.h
@@ -107,7 +107,7 @@
     /// Delivers the head of a response and, if the engine relays it, the end of the attempt.
     void answer(attempt_id attempt, int status = 200)
     {
-        engine_.on_response_started(attempt, {status, false, std::nullopt});
+        engine_.on_response_started(attempt, {status});
         if (callers_.relayed_.end() !=
             std::find_if(callers_.relayed_.begin(), callers_.relayed_.end(),
                          [&](const auto& entry) { return entry.second == attempt; })) {
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -369,7 +369,7 @@
     }
     net.run(3s);
     const auto limit_at = [&](const auto& node) {
-        return node->engine_.find_upstream("log", "u1")->limit().latest().per_second_;
+        return node->engine_.find_upstream("log", "u1")->gate().limit().latest().per_second_;
     };
     auto& first = *net.nodes_.front();
     first.engine_.on_peer_rate_limit("log", "u1", {2.5, net.clock_.now()});
--- a/tests/core/picker_test.cpp
+++ b/tests/core/picker_test.cpp
@@ -40,6 +40,11 @@
     std::vector<const upstream_tracker*> candidates_;
 };
 
+response_head response_with_load(double in_flight)
+{
+    return {200, false, false, false, {false, load_report{in_flight}}};
+}
+
 } // namespace
 
 TEST_CASE("the least-in-flight-of-two picker never picks the busier of two upstreams")
@@ -53,10 +58,10 @@
 {
     picker_fixture fixture(4);
     for (int i = 0; i < 10; ++i) {
-        fixture.upstreams_[0]->on_response(100ms, {200, false, load_report{0}}, fixture.now_);
+        fixture.upstreams_[0]->on_response(100ms, response_with_load(0), fixture.now_);
         for (int other = 1; other < 4; ++other) {
-            fixture.upstreams_[static_cast<std::size_t>(other)]->on_response(
-                10ms, {200, false, load_report{2}}, fixture.now_);
+            fixture.upstreams_[static_cast<std::size_t>(other)]->on_response(10ms, response_with_load(2),
+                                                                             fixture.now_);
         }
     }
     REQUIRE(fixture.count_picks(expected_wait_picker{})["u0"] == 0);
@@ -66,7 +71,7 @@
 {
     picker_fixture fixture(4);
     for (int i = 0; i < 10; ++i) {
-        fixture.upstreams_[0]->on_response(100ms, {200, false, std::nullopt}, fixture.now_);
+        fixture.upstreams_[0]->on_response(100ms, {200}, fixture.now_);
     }
     fixture.now_ += 60s;
     REQUIRE(fixture.count_picks(expected_wait_picker{})["u0"] > 100);
@@ -86,7 +91,7 @@
     picker_fixture fixture(4);
     fixture.upstreams_[2]->set_owned_slots(3);
     for (int i = 0; i < 10; ++i) {
-        fixture.upstreams_[2]->on_response(100ms, {200, false, std::nullopt}, fixture.now_);
+        fixture.upstreams_[2]->on_response(100ms, {200}, fixture.now_);
     }
     REQUIRE(fixture.count_picks(owned_slots_picker{})["u2"] == 0);
 }
--- /dev/null
+++ b/tests/core/send_gate_test.cpp
@@ -0,0 +1,216 @@
+// Tests of the gate that decides whether a request may be sent to an upstream, and that each way in which a
+// request can leave a node asks it.
+#include "core/earliest_finish_fixture.h"
+#include "core/upstreams/probe_scheduler.h"
+#include "core/upstreams/send_gate.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <type_traits>
+
+using namespace anvilpost;
+using namespace anvilpost::testing;
+
+namespace {
+
+// Only a gate makes permits for upstreams, and nothing is sent there without one; see
+// tests/adapters/self_report_test.cpp for the other kind of probe.
+static_assert(!std::is_default_constructible_v<send_permit>);
+static_assert(!std::is_default_constructible_v<attempt_order>);
+static_assert(!std::is_default_constructible_v<probe_request>);
+
+/// What u2 says of itself.
+struct statement {
+    const char* name_;
+    self_report report_;
+    std::optional<send_obstacle> to_calls_;
+    std::optional<send_obstacle> to_health_probes_;
+    std::optional<send_obstacle> to_reachability_probes_;
+};
+
+const std::vector<statement>& statements()
+{
+    static const std::vector<statement> all{
+        {"nothing", {}, std::nullopt, std::nullopt, std::nullopt},
+        {"it leaves", {true}, send_obstacle::leaving, send_obstacle::leaving, send_obstacle::leaving},
+        {"it wants nothing for 5 s",
+         {false, std::nullopt, 5s},
+         send_obstacle::retry_after,
+         send_obstacle::retry_after,
+         send_obstacle::retry_after},
+        {"it accepts one request a second",
+         {false, std::nullopt, std::nullopt, 1.0},
+         send_obstacle::rate_limit,
+         send_obstacle::rate_limit,
+         std::nullopt}};
+    return all;
+}
+
+/// A way in which a call can reach u2. `prepare_` brings a call to the moment before; `proceed_` lets it
+/// happen.
+struct way {
+    const char* name_;
+    std::function<void(earliest_finish_fixture&)> prepare_;
+    std::function<void(earliest_finish_fixture&)> proceed_;
+};
+
+void occupy(earliest_finish_fixture& fixture, const std::string& upstream)
+{
+    fixture.report_load(upstream, 1.0, 6);
+}
+
+void start_at_u1(earliest_finish_fixture& fixture, bool repeatable)
+{
+    occupy(fixture, "u2");
+    fixture.send_call(repeatable);
+    REQUIRE(fixture.last().upstream_ == "u1");
+    fixture.report_load("u2", 1.0);
+}
+
+void wait_for_both(earliest_finish_fixture& fixture)
+{
+    occupy(fixture, "u1");
+    occupy(fixture, "u2");
+    fixture.send_call(true, 100ms);
+    REQUIRE(fixture.upstreams_.started_.empty());
+}
+
+const std::vector<way>& ways()
+{
+    const auto occupy_u1 = [](earliest_finish_fixture& fixture) { occupy(fixture, "u1"); };
+    const auto repeatable_at_u1 = [](earliest_finish_fixture& fixture) { start_at_u1(fixture, true); };
+    static const std::vector<way> all{
+        {"first attempt", occupy_u1, [](earliest_finish_fixture& fixture) { fixture.send_call(true); }},
+        {"upload", occupy_u1, [](earliest_finish_fixture& fixture) { fixture.send_call(false); }},
+        {"forwarded by a peer", occupy_u1,
+         [](earliest_finish_fixture& fixture) {
+             call request;
+             request.id_ = call_id{99};
+             request.service_ = request.route_ = "desk";
+             request.forwarded_by_peer_ = true;
+             request.arrival_ = fixture.clock_.now();
+             request.objective_ = fixture.clock_.now() + 300ms;
+             request.deadline_ = fixture.clock_.now() + 2s;
+             fixture.engine_.on_call(request);
+         }},
+        {"retry after a broken attempt", repeatable_at_u1,
+         [](earliest_finish_fixture& fixture) {
+             fixture.engine_.on_attempt_ended(fixture.last().attempt_, attempt_outcome::broken);
+         }},
+        {"retry after a failed connection", repeatable_at_u1,
+         [](earliest_finish_fixture& fixture) {
+             fixture.engine_.on_attempt_ended(fixture.last().attempt_, attempt_outcome::not_sent);
+         }},
+        {"retry after an error", repeatable_at_u1,
+         [](earliest_finish_fixture& fixture) { fixture.answer(fixture.last().attempt_, 500); }},
+        {"retry after a refusal", [](earliest_finish_fixture& fixture) { start_at_u1(fixture, false); },
+         [](earliest_finish_fixture& fixture) { fixture.refuse(fixture.last().attempt_); }},
+        {"hedge of a stuck call", repeatable_at_u1,
+         [](earliest_finish_fixture& fixture) {
+             for (int i = 0; i < 60; ++i) {
+                 fixture.advance(10ms);
+             }
+         }},
+        {"hedge of a slowed call", repeatable_at_u1,
+         [](earliest_finish_fixture& fixture) {
+             fixture.advance(20ms);
+             fixture.report_load("u1", 7.0, 1);
+             fixture.engine_.apply_loads();
+         }},
+        {"queued call when a slot gets free", wait_for_both,
+         [](earliest_finish_fixture& fixture) {
+             fixture.report_load("u2", 1.0);
+             fixture.engine_.apply_loads();
+         }},
+        {"queued call that becomes late", wait_for_both, [](earliest_finish_fixture& fixture) {
+             fixture.report_load("u2", 1.0);
+             for (int i = 0; i < 30; ++i) {
+                 occupy(fixture, "u1");
+                 fixture.advance(10ms);
+             }
+         }}};
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a gate stops each kind of request that what an upstream says of itself forbids")
+{
+    const time_point now{1h};
+    for (const auto& said : statements()) {
+        INFO(said.name_);
+        send_gate gate;
+        gate.on_report(said.report_, true, now - 10ms, now);
+        CHECK(gate.obstacle(send_purpose::call, now) == said.to_calls_);
+        CHECK(gate.obstacle(send_purpose::health_probe, now) == said.to_health_probes_);
+        CHECK(gate.obstacle(send_purpose::reachability_probe, now) == said.to_reachability_probes_);
+        CHECK(gate.take(send_purpose::call, now).has_value() == !said.to_calls_.has_value());
+    }
+}
+
+TEST_CASE("a pause ends by itself, a limit with a response that names none, and leaving never")
+{
+    const time_point now{1h};
+    for (const auto& said : statements()) {
+        INFO(said.name_);
+        send_gate gate;
+        gate.on_report(said.report_, true, now - 10ms, now);
+        gate.on_report({}, true, now + 1s, now + 2s);
+        const auto later = gate.obstacle(send_purpose::call, now + 6s);
+        CHECK(later == (said.report_.leaving_ ? std::optional(send_obstacle::leaving) : std::nullopt));
+    }
+}
+
+TEST_CASE("the configuration's word that an upstream leaves can be taken back, its own word cannot")
+{
+    const time_point now{1h};
+    send_gate gate;
+    gate.set_configured(true, upstream_state::leaving);
+    CHECK(gate.obstacle(send_purpose::call, now) == send_obstacle::leaving);
+    gate.set_configured(true, upstream_state::active);
+    CHECK(gate.obstacle(send_purpose::call, now) == std::nullopt);
+    gate.set_configured(true, upstream_state::leaving);
+    CHECK_FALSE(gate.on_report({true}, true, now, now).leaving_); // Known already, from the configuration.
+    gate.set_configured(true, upstream_state::active);
+    CHECK(gate.obstacle(send_purpose::call, now) == send_obstacle::leaving);
+    gate.set_configured(false, upstream_state::active);
+    CHECK(gate.obstacle(send_purpose::call, now) == send_obstacle::unlisted);
+}
+
+TEST_CASE("each way in which a call reaches an upstream asks its gate")
+{
+    for (const auto& route : ways()) {
+        for (const auto& said : statements()) {
+            INFO(route.name_ << ", u2 says: " << said.name_);
+            earliest_finish_fixture fixture(2);
+            fixture.config_.services_["desk"].policy_.hedge_share_ = 1;
+            ++fixture.config_.revision_;
+            fixture.engine_.apply(fixture.config_);
+            route.prepare_(fixture);
+            fixture.engine_.on_probe_report("desk", "u2", said.report_);
+            route.proceed_(fixture);
+            const bool reached =
+                std::any_of(fixture.upstreams_.started_.begin(), fixture.upstreams_.started_.end(),
+                            [](const auto& order) { return order.upstream_ == "u2"; });
+            CHECK(reached == !said.to_calls_.has_value());
+        }
+    }
+}
+
+TEST_CASE("the probe scheduler asks the gate")
+{
+    for (const auto& said : statements()) {
+        INFO(said.name_);
+        manual_clock clock;
+        probe_scheduler scheduler(clock.now());
+        service_config config;
+        config.policy_.probes_per_second_ = 1;
+        config.upstreams_["u1"] = {"10.0.0.1", 80, "", "", upstream_state::active};
+        service_state service("desk", config, clock.now());
+        clock.advance(1h);
+        service.find("u1")->gate().on_report(said.report_, false, clock.now(), clock.now());
+        const membership single{member{"a", 1, "dc", "10.0.0.9", 1, "", 0, 0, 0, false}, {}};
+        CHECK(scheduler.next(service, {20}, single, clock.now()).has_value() ==
+              !said.to_health_probes_.has_value());
+    }
+}
