Upstreams: a response from another instance at an upstream's address says nothing about that upstream

Cause: a 421 comes from another instance than the one that the request named. Its load, pause, rate limit and above all "leaving" were taken as the named instance's, and "leaving" was spread to all nodes, which keep it for that incarnation. An old process that is being stopped at an address which a new instance has taken over, and that answers 421 with "leaving", would so shut the new instance out of the whole fleet. Ruled out: dropping the whole response. That the address does not lead to the named instance is the one thing that it tells, and stays this node's own view. Test: failed first with all four words taken (spread 1, limit active, pause set, 9 slots instead of 6).

--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -197,10 +197,13 @@
     if (upstream == nullptr) {
         return;
     }
-    apply_self_report(*service, *upstream, head.self_, head.status_ < 500, answered.started_);
     if (head.misdirected_) {
+        // The rest of the response is the word of the instance that has the address now.
         upstream->gate().mark_leaving(leaving_source::upstream_itself);
+        upstream->on_shed(now());
+        return;
     }
+    apply_self_report(*service, *upstream, head.self_, head.status_ < 500, answered.started_);
     const auto latency = now() - answered.started_;
     if (head.not_run_) {
         upstream->on_shed(now());
--- a/tests/core/call_engine_earliest_finish_test.cpp
+++ b/tests/core/call_engine_earliest_finish_test.cpp
@@ -89,6 +89,22 @@
     }
 }
 
+TEST_CASE("what another instance at an upstream's address says of itself is not taken as the upstream's word")
+{
+    earliest_finish_fixture fixture(2);
+    int spread = 0;
+    fixture.engine_.on_leaving_ = [&](const std::string&, const std::string&) { ++spread; };
+    fixture.send_call(true);
+    const auto addressed = fixture.last();
+    fixture.engine_.on_response_started(addressed.attempt_,
+                                        {421, true, true, false, {true, load_report{9, 9}, 5s, 1.0}});
+    CHECK(spread == 0);
+    const auto* upstream = fixture.engine_.find_upstream("desk", addressed.upstream_);
+    CHECK_FALSE(upstream->gate().limit().active());
+    CHECK(upstream->gate().paused_until() <= fixture.clock_.now());
+    CHECK(upstream->slots(1) == 6);
+}
+
 TEST_CASE("a repeatable call is hedged when its upstream slows down, and the first response is relayed")
 {
     earliest_finish_fixture fixture(2);
