Fleet: a rate limit in messages between nodes belongs to the incarnation that named it

Cause: nodes pass on limits by the upstream's key alone. Ruled out: the gate. It is new for a new incarnation; the limit came back in the next message. Change: the record carries the hash of the incarnation, as that of a leaving upstream does; others' limits of another incarnation are ignored. 8 bytes more for each limited upstream in a message. Test: failed first at each of three nodes.

--- a/src/core/fleet/peer_exchange_notices.cpp
+++ b/src/core/fleet/peer_exchange_notices.cpp
@@ -59,7 +59,7 @@
         }
         const auto& latest = tracker->gate().limit().latest();
         const duration age = now - latest.learnt_at_;
-        by_age.push_back({age, {key, latest.per_second_, age}});
+        by_age.push_back({age, {key, upstream.incarnation_, latest.per_second_, age}});
     }
     const auto count = std::min(max_rate_limits_per_message, by_age.size());
     std::partial_sort(by_age.begin(), by_age.begin() + static_cast<std::ptrdiff_t>(count), by_age.end(),
@@ -72,7 +72,8 @@
 void peer_exchange::handle_rate_limits(const peer_message& message, time_point now)
 {
     for (const auto& limit : message.rate_limits_) {
-        if (const auto* upstream = find_upstream(limit.upstream_)) {
+        const auto* upstream = find_upstream(limit.upstream_);
+        if (upstream != nullptr && upstream->incarnation_ == limit.incarnation_) {
             ports_.engine_.on_peer_rate_limit(upstream->service_, upstream->name_,
                                               {limit.per_second_, now - limit.age_});
         }
--- a/src/core/fleet/peer_messages.cpp
+++ b/src/core/fleet/peer_messages.cpp
@@ -144,6 +144,7 @@
         const double rate = limit.per_second_.value_or(0) * thousandths;
         const auto field = static_cast<std::uint32_t>(std::min<double>(rate, no_rate_limit - 1));
         writer.add(limit.upstream_);
+        writer.add(limit.incarnation_);
         writer.add(limit.per_second_ ? field : no_rate_limit);
         writer.add(saturating_cast<std::uint32_t>(milliseconds(limit.age_)));
     }
@@ -156,6 +157,7 @@
     for (record_reader reader(bytes); !reader.at_end();) {
         auto& limit = limits.emplace_back();
         limit.upstream_ = reader.next<std::uint32_t>();
+        limit.incarnation_ = reader.next<std::uint64_t>();
         const auto rate = reader.next<std::uint32_t>();
         if (rate != no_rate_limit) {
             limit.per_second_ = rate / thousandths;
--- a/src/core/fleet/peer_messages.h
+++ b/src/core/fleet/peer_messages.h
@@ -43,6 +43,7 @@
 /// The rate limit that an upstream names in its responses, or the end of one.
 struct upstream_rate_limit {
     std::uint32_t upstream_ = 0;       ///< See `upstream_key`.
+    std::uint64_t incarnation_ = 0;    ///< Hash of the incarnation that named it.
     std::optional<double> per_second_; ///< Requests per second of all nodes together; empty: no limit.
     duration age_{};                   ///< Since a node learnt of it from a response.
 };
--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -388,15 +388,38 @@
     }
 }
 
+TEST_CASE("a rate limit that an earlier incarnation named is not passed on to the next one")
+{
+    network net;
+    net.config_.services_["log"].upstreams_["u1"].incarnation_ = "first";
+    for (int i = 0; i < 3; ++i) {
+        net.add("n" + std::to_string(i), "north");
+    }
+    net.run(3s);
+    net.nodes_.front()->engine_.on_peer_rate_limit("log", "u1", {2.5, net.clock_.now()});
+    net.run(1s);
+    net.config_.services_["log"].upstreams_["u1"].incarnation_ = "second";
+    // The nodes read of the next incarnation one after the other.
+    for (const auto& node : net.nodes_) {
+        node->exchange_.on_configuration(net.config_);
+        node->engine_.apply(net.config_);
+        net.run(200ms);
+    }
+    for (const auto& node : net.nodes_) {
+        CHECK_FALSE(node->engine_.find_upstream("log", "u1")->gate().limit().active());
+    }
+}
+
 TEST_CASE("rate limits are the same after a message was encoded and decoded")
 {
     peer_message message;
     message.sender_ = {"n1", 1, "north", "10.0.0.1", 1, 2, 200, false};
-    message.rate_limits_ = {{7, 4.125, 90s}, {8, std::nullopt, 20ms}, {9, 0.0, 0ms}};
+    message.rate_limits_ = {{7, 1234567890123, 4.125, 90s}, {8, 1, std::nullopt, 20ms}, {9, 2, 0.0, 0ms}};
     const auto decoded = decode_peer_message(encode(message));
     REQUIRE(decoded.has_value());
     REQUIRE(decoded->rate_limits_.size() == 3);
     CHECK(decoded->rate_limits_[0].upstream_ == 7);
+    CHECK(decoded->rate_limits_[0].incarnation_ == 1234567890123);
     CHECK(decoded->rate_limits_[0].per_second_ == 4.125);
     CHECK(decoded->rate_limits_[0].age_ == 90s);
     CHECK_FALSE(decoded->rate_limits_[1].per_second_.has_value());
