--- a/tests/core/called_fleet.h
+++ b/tests/core/called_fleet.h
@@ -1,5 +1,5 @@
-// A fleet of real engines and gossip in virtual time whose callers use one service, "log". Upstreams may name
-// a rate limit, and nodes may lose their connections to all upstreams.
+// A fleet of real engines and gossip in virtual time whose callers use one service, "log". Its upstream u1
+// may name a rate limit or refuse with a pause, and nodes may lose their connections to all upstreams.
 #pragma once
 
 #include "core/exchange_network.h"
@@ -55,6 +55,16 @@
     /// The limit that responses of u1 name.
     void set_limit(std::optional<double> per_second) { limit_ = per_second; }
 
+    /// u1 refuses the requests of these nodes and asks each for a pause.
+    void refuse_with_pause(std::set<std::string> nodes, duration pause)
+    {
+        refused_nodes_ = std::move(nodes);
+        pause_ = pause;
+    }
+
+    [[nodiscard]] std::size_t refused_by_u1() const { return refused_; }
+    [[nodiscard]] std::size_t served_by_u1() const { return served_by_u1_; }
+
     /// Connections of these nodes to upstreams fail from now on.
     void cut_off(const std::set<std::string>& nodes) { cut_off_ = nodes; }
 
@@ -84,6 +94,8 @@
     void forget()
     {
         starts_at_u1_.clear();
+        refused_ = 0;
+        served_by_u1_ = 0;
         sent_.clear();
         served_.clear();
     }
@@ -226,12 +238,23 @@
         head.status_ = 200;
         if (done.order_.upstream_ == "u1") {
             head.self_.rate_limit_ = limit_;
+            if (refused_nodes_.contains(done.node_->exchange_.peers().self().name_)) {
+                ++refused_;
+                head.status_ = 503;
+                head.not_run_ = true;
+                head.self_.retry_after_ = pause_;
+            }
+            served_by_u1_ += head.not_run_ ? 0 : 1;
         }
         deliver_response(*done.node_, done.order_.attempt_, head);
     }
 
     std::optional<double> limit_;
     std::set<std::string> cut_off_;
+    std::set<std::string> refused_nodes_;
+    duration pause_{};
+    std::size_t refused_ = 0;
+    std::size_t served_by_u1_ = 0;
     std::vector<running_attempt> running_;
     std::vector<forwarded_call> forwarded_;
     std::vector<time_point> starts_at_u1_;
--- a/tests/core/rate_limit_test.cpp
+++ b/tests/core/rate_limit_test.cpp
@@ -1,5 +1,5 @@
-// Tests of upstreams that limit the rate of requests from all nodes together: a node's knowledge of a limit,
-// and that fleets of real engines and gossip, in virtual time, stay within it.
+// Tests of upstreams that limit the rate of requests from all nodes together or ask nodes for a pause: a
+// node's knowledge of a limit, and fleets of real engines and gossip, in virtual time, that must comply.
 #include "core/called_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -57,3 +57,32 @@
     fleet.play(4s, 100);
     CHECK(fleet.most_in_four_seconds() > 60); // A third of all calls is 133.
 }
+
+TEMPLATE_TEST_CASE_SIG("an upstream that asks one node for a pause goes on serving the others, and one that "
+                       "asks all is left alone by each",
+                       "", ((int nodes), nodes), 5, 13, 40)
+{
+    const bool asks_all = GENERATE(false, true);
+    INFO(nodes << " nodes, asks all " << asks_all);
+    constexpr int calls_per_node = 20; // Per second.
+    called_fleet fleet(nodes, 3);
+    fleet.play(2s, nodes * calls_per_node);
+    fleet.forget();
+    fleet.play(10s, nodes * calls_per_node);
+    const auto usually_served = fleet.served_by_u1();
+    std::set<std::string> asked;
+    for (int i = 0; i < (asks_all ? nodes : 1); ++i) {
+        asked.insert("n" + std::to_string(i));
+    }
+    fleet.refuse_with_pause(asked, 2s);
+    fleet.forget();
+    fleet.play(10s, nodes * calls_per_node);
+    CAPTURE(fleet.refused_by_u1(), fleet.served_by_u1(), usually_served);
+    CHECK(fleet.refused_by_u1() <= asked.size() * 5 * 2); // Two in each of five pauses.
+    if (!asks_all) {
+        CHECK(fleet.served_by_u1() > usually_served / 2);
+    }
+    for (int i = 0; i < nodes; ++i) {
+        CHECK(fleet.served_share("n" + std::to_string(i)) > 0.98); // The last calls still run.
+    }
+}
