Soak: restored stores, nodes cut off from workers, and workers that say they leave, limit their rate or ask for a pause

Seeds that once failed keep what they draw of the older kinds: the new ones come from another generator.

--- a/testing/soak/disruptions.cpp
+++ b/testing/soak/disruptions.cpp
@@ -33,7 +33,12 @@
                                                                     "worker_link_one_way",
                                                                     "worker_link_reset",
                                                                     "worker_link_forgotten",
-                                                                    "move_route"};
+                                                                    "move_route",
+                                                                    "worker_says_leaving",
+                                                                    "worker_limits_rate",
+                                                                    "worker_asks_for_pause",
+                                                                    "nodes_cut_off",
+                                                                    "store_restored"};
 
 constexpr int http_too_many = 429;
 constexpr int http_unavailable = 503;
@@ -50,7 +55,24 @@
 bool is_planned(disruption_kind kind)
 {
     return kind == disruption_kind::stop_node || kind == disruption_kind::reload_node ||
-           kind == disruption_kind::drain_worker || kind == disruption_kind::move_route;
+           kind == disruption_kind::drain_worker || kind == disruption_kind::move_route ||
+           kind == disruption_kind::worker_says_leaving;
+}
+
+disruption_kind kind_drawer::draw(random_port& random, bool planned_only)
+{
+    constexpr int first_recent = static_cast<int>(disruption_kind::move_route) + 1;
+    constexpr int recent_count = disruption_kind_count - first_recent;
+    constexpr double recent_share = 0.25;
+    const bool recent = random_unit(recent_random_) < recent_share;
+    while (true) {
+        const auto drawn = recent ? first_recent + random_below(recent_random_, recent_count)
+                                  : random_below(random, first_recent);
+        const auto kind = static_cast<disruption_kind>(drawn);
+        if (!planned_only || is_planned(kind)) {
+            return kind;
+        }
+    }
 }
 
 void disruption_injector::schedule(duration delay, std::function<void()> work)
@@ -115,6 +137,11 @@
         deployment_.move_route(route_index, at_desk ? "log" : "desk");
         return std::string(name_of(kind)) + " " + deployment_.routes()[route_index].name_;
     }
+    case disruption_kind::worker_says_leaving:
+    case disruption_kind::worker_limits_rate:
+    case disruption_kind::worker_asks_for_pause: return let_worker_say(kind, length);
+    case disruption_kind::nodes_cut_off: return cut_off_nodes(length);
+    case disruption_kind::store_restored: return restore_store(length);
     default: break;
     }
     if (kind <= disruption_kind::store_forgets_history) {
@@ -188,6 +215,75 @@
     return description;
 }
 
+/// A worker that has said it leaves ends like one that drains; its entry in the store never says so.
+std::string disruption_injector::let_worker_say(disruption_kind kind, duration length)
+{
+    constexpr double max_limit_per_second = 10;
+    constexpr int pause_s = 1;
+    const int number = random_worker();
+    std::string description = std::string(name_of(kind)) + " " + std::to_string(number);
+    if (!deployment_.worker_runs(number) || deployment_.worker_at(number).draining()) {
+        return description + " (not running: nothing)";
+    }
+    if (kind == disruption_kind::worker_says_leaving) {
+        deployment_.let_worker_say_leaving(number);
+        const std::string id = deployment_.worker_at(number).settings().id_;
+        const duration end = platform_bounds::drain + 2s;
+        schedule(end, [this, number, id] {
+            if (deployment_.worker_runs(number) && deployment_.worker_at(number).settings().id_ == id) {
+                deployment_.crash_worker(number);
+            }
+        });
+        schedule(end + 100ms, [this, number] {
+            if (!deployment_.worker_runs(number)) {
+                deployment_.start_worker(number);
+            }
+        });
+        return description;
+    }
+    worker_faults faults;
+    if (kind == disruption_kind::worker_limits_rate) {
+        faults.rate_limit_ = max_limit_per_second * random_unit(deployment_.random());
+    }
+    else {
+        faults.refuse_ = 1;
+        faults.retry_after_s_ = pause_s;
+    }
+    deployment_.worker_at(number).set_faults(faults);
+    schedule(length, [this, number] {
+        if (deployment_.worker_runs(number)) {
+            deployment_.worker_at(number).set_faults({});
+        }
+    });
+    return description;
+}
+
+std::string disruption_injector::cut_off_nodes(duration length)
+{
+    constexpr std::array kinds{partition_kind::silent, partition_kind::reset, partition_kind::new_refused};
+    const auto kind = random_below(deployment_.random(), kinds.size());
+    std::set<int> nodes;
+    std::string description = name_of(disruption_kind::nodes_cut_off);
+    for (int i = 0; i < deployment_.node_count(); ++i) {
+        if (random_below(deployment_.random(), 2) == 0) {
+            nodes.insert(i);
+            description += " " + std::to_string(i);
+        }
+    }
+    deployment_.partition_from_workers(nodes, kinds.at(kind));
+    schedule(length, [this] { deployment_.partition_from_workers({}, partition_kind::silent); });
+    return description + " kind " + std::to_string(kind);
+}
+
+std::string disruption_injector::restore_store(duration length)
+{
+    constexpr duration rewritten_after = 500ms;
+    deployment_.store().take_copy();
+    schedule(length, [this] { deployment_.store().restore(); });
+    schedule(length + rewritten_after, [this] { deployment_.rewrite_store(); });
+    return name_of(disruption_kind::store_restored);
+}
+
 std::string disruption_injector::disrupt_link(disruption_kind kind, duration length)
 {
     const bool to_store = kind <= disruption_kind::store_link_forgotten;
--- a/testing/soak/disruptions.h
+++ b/testing/soak/disruptions.h
@@ -10,7 +10,7 @@
 namespace anvilpost::testing {
 
 /// Kinds of disruption. The implementation compares ranges of these values, so their order matters; the table
-/// behind `name_of` has the same order.
+/// behind `name_of` has the same order. The last ones are drawn apart from the others (see `draw_kind`).
 enum class disruption_kind : std::uint8_t {
     kill_node,
     kill_several_nodes,
@@ -37,15 +37,33 @@
     worker_link_reset,
     worker_link_forgotten,
     move_route,
+    worker_says_leaving,
+    worker_limits_rate,
+    worker_asks_for_pause,
+    nodes_cut_off,
+    store_restored,
 };
 
-inline constexpr int disruption_kind_count = static_cast<int>(disruption_kind::move_route) + 1;
+inline constexpr int disruption_kind_count = static_cast<int>(disruption_kind::store_restored) + 1;
 
 const char* name_of(disruption_kind kind);
 
 /// True for operations that operators plan; guarantees with a time bound hold during them.
 bool is_planned(disruption_kind kind);
 
+/// Draws the next kind. A share of the draws takes one of the kinds after `move_route`, from a generator of
+/// its own, so that seeds which once failed go on drawing the same of the kinds before.
+class kind_drawer {
+public:
+    explicit kind_drawer(std::uint64_t seed) : recent_random_(seed) {}
+
+    /// With `planned_only`, nothing that `is_planned` denies.
+    disruption_kind draw(random_port& random, bool planned_only);
+
+private:
+    split_mix recent_random_;
+};
+
 /// Starts disruptions and ends them after a while. Must not outlive the deployment.
 class disruption_injector {
 public:
@@ -63,6 +81,9 @@
     std::string disrupt_store(disruption_kind kind, duration length);
     std::string disrupt_worker(disruption_kind kind, duration length);
     std::string disrupt_link(disruption_kind kind, duration length);
+    std::string let_worker_say(disruption_kind kind, duration length);
+    std::string cut_off_nodes(duration length);
+    std::string restore_store(duration length);
 
     test_deployment& deployment_;
     std::vector<std::unique_ptr<timer>> timers_;
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -70,6 +70,7 @@
         deployment.checker().skip_timing_checks();
     }
     disruption_injector disruptions(deployment);
+    kind_drawer kinds(seed);
     deployment.run_for(2s);
     deployment.start_callers(absl::GetFlag(FLAGS_callers), 100ms);
     deployment.run_until([&] { return deployment.served_share(deployment.now() - 1s) >= min_served_share; },
@@ -78,10 +79,7 @@
     const auto end = start + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
     while (deployment.now() < end) {
         const bool faults_allowed = (deployment.now() - start) / phase_length % 2 == 0;
-        auto kind = static_cast<disruption_kind>(random_below(deployment.random(), disruption_kind_count));
-        while (!faults_allowed && !is_planned(kind)) {
-            kind = static_cast<disruption_kind>(random_below(deployment.random(), disruption_kind_count));
-        }
+        const auto kind = kinds.draw(deployment.random(), !faults_allowed);
         const double elapsed_s = std::chrono::duration<double>(deployment.now() - start).count();
         std::printf("  %6.2f s %s\n", elapsed_s, disruptions.start(kind).c_str());
         std::fflush(stdout);
--- a/testing/test_deployment/test_deployment.cpp
+++ b/testing/test_deployment/test_deployment.cpp
@@ -140,6 +140,7 @@
     const std::string name = settings_.folder_ + "/node-" + std::to_string(number);
     auto& node = nodes_.at(index(number));
     node.stopping_ = false;
+    node.started_at_ = now();
     node.process_ = std::make_unique<child_process>(
         settings_.daemon_, std::vector<std::string>{},
         child_process_options{name + ".log", {{"ANVILPOST_BOOT", name + ".json"}}});
@@ -220,6 +221,7 @@
         }
     }
     store_.erase("servers/" + record.instance_->settings().id_);
+    departed_workers_.push_back(record.instance_->settings().id_);
     record.instance_->abandon();
     std::shared_ptr<worker> ended = std::move(record.instance_);
     loop_.defer([ended] {});
@@ -233,6 +235,27 @@
     register_worker(record);
 }
 
+void test_deployment::let_worker_say_leaving(int number)
+{
+    auto& record = workers_.at(index(number));
+    worker_faults leaving;
+    leaving.says_leaving_ = true;
+    record.instance_->set_faults(leaving);
+}
+
+void test_deployment::rewrite_store()
+{
+    for (const auto& id : departed_workers_) {
+        store_.erase("servers/" + id);
+    }
+    for (auto& record : workers_) {
+        if (record.instance_ != nullptr) {
+            register_worker(record);
+        }
+    }
+    put_configuration();
+}
+
 void test_deployment::refresh_registrations()
 {
     for (int i = 0; i < worker_count(); ++i) {
--- a/testing/test_deployment/test_deployment.h
+++ b/testing/test_deployment/test_deployment.h
@@ -76,6 +76,13 @@
 
     /// Marks a worker as draining and removes it 2 s after the drain time.
     void drain_worker(int number);
+    /// Lets a worker say in its responses that it leaves; its entry in the store does not.
+    void let_worker_say_leaving(int number);
+
+    /// What the operator and the workers do after the store came back from an older copy: they write again
+    /// what it lost, and the entries of workers that are gone lapse.
+    void rewrite_store();
+
     [[nodiscard]] bool worker_runs(int number) const
     {
         return workers_.at(index(number)).instance_ != nullptr;
@@ -140,6 +147,7 @@
     struct node_record {
         std::unique_ptr<child_process> process_;
         std::unique_ptr<timer> stop_timer_;
+        time_point started_at_{};
         bool stopping_ = false;
         bool was_stable_ = false;
         bool restart_ = false;
@@ -175,6 +183,7 @@
     registry_store store_;
     std::vector<std::unique_ptr<loopback_proxy>> store_links_;
     std::vector<worker_record> workers_;
+    std::vector<std::string> departed_workers_; ///< Ids.
     std::vector<node_record> nodes_;
     std::vector<operator_route> routes_;
     std::vector<std::unique_ptr<caller>> callers_;
--- a/testing/test_deployment/test_deployment_checks.cpp
+++ b/testing/test_deployment/test_deployment_checks.cpp
@@ -90,11 +90,20 @@
                                   stalled_recently();
     checker_.on_arrival(received);
     const auto& record = workers_.at(index(number));
-    const bool leaving = record.instance_ != nullptr && record.instance_->draining();
-    if (leaving && is_stable() && now() - record.draining_since_ > platform_bounds::drain + check_slack) {
+    const bool draining = record.instance_ != nullptr && record.instance_->draining();
+    if (draining && is_stable() && now() - record.draining_since_ > platform_bounds::drain + check_slack) {
         checker_.report_timing_violation("a draining worker receives no new requests",
                                          received.request_id_ + " at " + received.worker_);
     }
+    const auto said_leaving_at =
+        record.instance_ == nullptr ? std::nullopt : record.instance_->said_leaving_at();
+    const bool node_knew = request != nullptr && said_leaving_at &&
+                           nodes_.at(index(request->node_)).started_at_ < *said_leaving_at &&
+                           request->sent_at_ > *said_leaving_at + platform_bounds::drain + check_slack;
+    if (node_knew && is_stable()) {
+        checker_.report_timing_violation("a worker that says it leaves receives no new requests",
+                                         received.request_id_ + " at " + received.worker_);
+    }
     check_route(received);
 }
 
--- a/testing/test_deployment/worker.cpp
+++ b/testing/test_deployment/worker.cpp
@@ -51,12 +51,15 @@
            std::to_string(static_cast<int>(faults_.slowdown_ * normal_slowdown_percent));
 }
 
-void worker::add_common_headers(evhttp_request* request, const std::string& request_id) const
+void worker::add_common_headers(evhttp_request* request, const std::string& request_id)
 {
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Anvilpost-Server-Load", load_header().c_str());
     if (faults_.says_leaving_) {
         evhttp_add_header(headers, "Server-Leaving", "1");
+        if (!request_id.empty() && !said_leaving_at_) {
+            said_leaving_at_ = clock_.now();
+        }
     }
     if (faults_.rate_limit_) {
         evhttp_add_header(headers, "Server-Limit", std::to_string(*faults_.rate_limit_).c_str());
--- a/testing/test_deployment/worker.h
+++ b/testing/test_deployment/worker.h
@@ -53,6 +53,8 @@
     void set_faults(const worker_faults& faults) { faults_ = faults; }
     void set_draining(bool draining) { draining_ = draining; }
     [[nodiscard]] bool draining() const { return draining_; }
+    /// Time of the first response that said so, probes' apart; nothing while none did.
+    [[nodiscard]] std::optional<time_point> said_leaving_at() const { return said_leaving_at_; }
     [[nodiscard]] const worker_settings& settings() const { return settings_; }
 
     /// Times at which requests arrived, health probes included.
@@ -78,7 +80,7 @@
     void send_response(job& done);
     void send_truncated(job& done);
     void remove(const std::shared_ptr<job>& ended);
-    void add_common_headers(evhttp_request* request, const std::string& request_id) const;
+    void add_common_headers(evhttp_request* request, const std::string& request_id);
     [[nodiscard]] std::string load_header() const;
     [[nodiscard]] int running_count() const;
     bool draw(double probability);
@@ -89,6 +91,7 @@
     worker_settings settings_;
     worker_faults faults_;
     bool draining_ = false;
+    std::optional<time_point> said_leaving_at_;
     steady_clock clock_;
     std::vector<time_point> arrival_times_;
     std::deque<std::shared_ptr<job>> jobs_;
