--- a/tests/core/claim_ledger_test.cpp
+++ b/tests/core/claim_ledger_test.cpp
@@ -78,6 +78,40 @@
     REQUIRE(nodes.b_.decisions_.at(resent) == claim_decision::duplicate);
 }
 
+TEST_CASE("a claim that a store lost when it came back from a copy is not granted again")
+{
+    two_nodes nodes;
+    nodes.store_.take_copy();
+    const auto first = nodes.a_.claim("renew-1");
+    nodes.store_.run_until_idle();
+    REQUIRE(nodes.a_.decisions_.at(first) == claim_decision::granted);
+    nodes.store_.restore();
+    nodes.advance_and_wake();
+    const auto resent = nodes.b_.claim("renew-1");
+    nodes.store_.run_until_idle();
+    CHECK(nodes.b_.decisions_.at(resent) != claim_decision::granted);
+}
+
+TEST_CASE("claims are granted again once the store has come back from a copy")
+{
+    two_nodes nodes;
+    nodes.store_.take_copy();
+    for (int i = 0; i < 10; ++i) {
+        nodes.a_.claim("a" + std::to_string(i));
+        nodes.b_.claim("b" + std::to_string(i));
+        nodes.store_.run_until_idle();
+        nodes.advance_and_wake();
+    }
+    nodes.store_.restore();
+    call_id call{};
+    for (int i = 0; i < 60; ++i) {
+        nodes.advance_and_wake();
+        call = nodes.a_.claim("later-" + std::to_string(i));
+        nodes.store_.run_until_idle();
+    }
+    CHECK(nodes.a_.decisions_.at(call) == claim_decision::granted);
+}
+
 TEST_CASE("claims that arrive while a write is under way share the next write")
 {
     two_nodes nodes;
--- a/tests/core/fake_store.h
+++ b/tests/core/fake_store.h
@@ -99,6 +99,15 @@
         }
     }
 
+    void take_copy() { copy_ = {entries_, last_version_}; }
+
+    /// The store comes back from its last copy; versions are given out again.
+    void restore()
+    {
+        entries_ = copy_.first;
+        last_version_ = copy_.second;
+    }
+
     [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
 
     std::map<std::string, std::pair<std::string, std::uint64_t>> entries_;
@@ -122,6 +131,7 @@
     std::deque<std::function<void(store_fault)>> queue_;
     std::deque<std::function<void()>> delayed_;
     std::uint64_t last_version_ = 0;
+    std::pair<decltype(entries_), std::uint64_t> copy_;
 };
 
 class manual_wall_clock : public wall_clock_port {
