--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -199,7 +199,7 @@
     }
     if (head.misdirected_) {
         // The rest of the response is the word of the instance that has the address now.
-        upstream->gate().mark_leaving(leaving_source::upstream_itself);
+        upstream->gate().mark_leaving(leaving_source::upstream_itself, now());
         upstream->on_shed(now());
         return;
     }
--- a/src/core/calls/call_engine_reports.cpp
+++ b/src/core/calls/call_engine_reports.cpp
@@ -49,7 +49,7 @@
         return;
     }
     if (auto* tracker = state->find(upstream)) {
-        tracker->gate().mark_leaving(source);
+        tracker->gate().mark_leaving(source, now());
     }
     start_waiting_calls(*state);
 }
--- a/src/core/upstreams/send_gate.cpp
+++ b/src/core/upstreams/send_gate.cpp
@@ -11,9 +11,10 @@
     changes changed;
     if (report.leaving_) {
         changed.leaving_ = !reason_for_leaving();
-        mark_leaving(leaving_source::upstream_itself);
+        mark_leaving(leaving_source::upstream_itself, now);
     }
     if (report.retry_after_) {
+        paused_since_ = now < paused_until_ ? paused_since_ : now;
         paused_until_ = std::max(paused_until_, now + *report.retry_after_);
     }
     changed.rate_limit_ = limit_.on_response(report.rate_limit_, served, sent_at, now);
@@ -26,10 +27,11 @@
     leaves_by_configuration_ = state == upstream_state::leaving || state == upstream_state::stopping;
 }
 
-void send_gate::mark_leaving(leaving_source source)
+void send_gate::mark_leaving(leaving_source source, time_point now)
 {
     if (source != leaving_source::configuration && !sticky_leaving_) {
         sticky_leaving_ = source;
+        leaving_since_ = now;
     }
 }
 
@@ -56,6 +58,27 @@
     return limited ? std::optional(send_obstacle::rate_limit) : std::nullopt;
 }
 
+std::optional<send_restriction> send_gate::restriction(time_point now) const
+{
+    if (!listed_) {
+        return send_restriction{send_obstacle::unlisted};
+    }
+    if (const auto source = reason_for_leaving()) {
+        const bool since_known = sticky_leaving_.has_value();
+        return send_restriction{send_obstacle::leaving, source,
+                                since_known ? std::optional(leaving_since_) : std::nullopt};
+    }
+    if (limit_.active()) {
+        const auto& latest = limit_.latest();
+        return send_restriction{send_obstacle::rate_limit, std::nullopt, latest.learnt_at_, std::nullopt,
+                                latest.per_second_};
+    }
+    if (now < paused_until_) {
+        return send_restriction{send_obstacle::retry_after, std::nullopt, paused_since_, paused_until_};
+    }
+    return std::nullopt;
+}
+
 std::optional<send_permit> send_gate::take(send_purpose purpose, time_point now)
 {
     if (obstacle(purpose, now)) {
--- a/src/core/upstreams/send_gate.h
+++ b/src/core/upstreams/send_gate.h
@@ -46,6 +46,15 @@
     }};
 };
 
+/// Why an upstream gets nothing, or little, at present; for operators.
+struct send_restriction {
+    send_obstacle because_{};
+    std::optional<leaving_source> source_{}; ///< Of leaving.
+    std::optional<time_point> since_{};      ///< When this node learnt of it; unknown from the configuration.
+    std::optional<time_point> ends_at_{};
+    std::optional<double> per_second_{};
+};
+
 /// Invariant: once an incarnation is known to be leaving by a source other than the configuration, it stays
 /// so; a gate for another incarnation is a new object.
 class send_gate {
@@ -65,7 +74,7 @@
 
     /// Marks the upstream as leaving. Has no effect for `leaving_source::configuration`, which
     /// `set_configured` applies.
-    void mark_leaving(leaving_source source);
+    void mark_leaving(leaving_source source, time_point now);
 
     /// Applies a rate limit that the upstream named to another node.
     void on_peer_limit(const rate_limit_notice& notice, time_point now) { limit_.apply(notice, now); }
@@ -79,6 +88,10 @@
     std::optional<send_permit> take(send_purpose purpose, time_point now);
 
     [[nodiscard]] std::optional<leaving_source> reason_for_leaving() const;
+
+    /// Returns the longest-lasting restriction on requests to the upstream, also when a request could be sent
+    /// now within it.
+    [[nodiscard]] std::optional<send_restriction> restriction(time_point now) const;
     [[nodiscard]] const rate_limit& limit() const { return limit_; }
 
     /// End of the pause that the upstream asked this node for; in the past when there is none.
@@ -91,6 +104,8 @@
     bool listed_ = true;
     bool leaves_by_configuration_ = false;
     std::optional<leaving_source> sticky_leaving_; ///< Never `configuration`.
+    time_point leaving_since_{};                   ///< Set with `sticky_leaving_`.
+    time_point paused_since_{};
     time_point paused_until_{};
     rate_limit limit_;
 };
--- a/src/ctl/tables.cpp
+++ b/src/ctl/tables.cpp
@@ -47,6 +47,29 @@
     return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+/// What keeps requests from an upstream, for instance "leaving: peer, for 2.1 s".
+std::string restriction_note(const nlohmann::json& restriction)
+{
+    constexpr double ms_per_s = 1000;
+    const auto seconds = [&](const char* field) {
+        return format_number(restriction[field].get<double>() / ms_per_s, "%.1f") + " s";
+    };
+    std::string note = restriction.value("because", "");
+    if (restriction.contains("source")) {
+        note += ": " + restriction.value("source", "");
+    }
+    if (restriction.contains("per_second")) {
+        note += ": " + format_number(restriction["per_second"], "%.3g") + "/s of all nodes";
+    }
+    if (restriction.contains("for_ms")) {
+        note += ", for " + seconds("for_ms");
+    }
+    if (restriction.contains("ends_in_ms")) {
+        note += ", ends in " + seconds("ends_in_ms");
+    }
+    return note;
+}
+
 } // namespace
 
 std::string plan_table(const nlohmann::json& plan)
@@ -67,10 +90,14 @@
 
 std::string status_table(const nlohmann::json& status)
 {
+    // A node with a registry keeps what it knows from the store in its view.
+    const auto& known = status.contains("view") ? status["view"] : status;
     std::string text = "node " + status.value("node", "") + " (" + status.value("data_centre", "") + "), " +
                        status.value("stage", "") + ", revision " +
-                       std::to_string(status.value("revision", 0ULL)) + ", store " +
-                       (status.value("store_reachable", false) ? "reachable" : "not reachable") + ", " +
+                       std::to_string(known.value("revision", 0ULL)) +
+                       (known.contains("store_epoch") ? " of epoch " + known["store_epoch"].dump() : "") +
+                       ", store " + (known.value("store_reachable", false) ? "reachable" : "not reachable") +
+                       (status.value("reaches_upstreams", true) ? "" : ", REACHES NO UPSTREAM") + ", " +
                        std::to_string(status.value("in_flight", 0ULL)) + " in flight\n";
     std::vector<table_row> rows{{"SERVICE", "UPSTREAM", "STATE", "IN FLIGHT", "NOTE"}};
     for (const auto& [service, entry] : status["services"].items()) {
@@ -79,8 +106,8 @@
         }
         for (const auto& [name, upstream] : entry["upstreams"].items()) {
             std::string note = upstream.value("ejected", false) ? "kept out after failures" : "";
-            if (upstream.value("leaving", false)) {
-                note = "leaving: " + upstream.value("leaving_because", "");
+            if (upstream.contains("restricted")) {
+                note = restriction_note(upstream["restricted"]);
             }
             rows.push_back({service, name, upstream.value("state", ""),
                             format_number(upstream["in_flight"], "%.0f"), note});
--- a/src/daemon/call_path.cpp
+++ b/src/daemon/call_path.cpp
@@ -19,6 +19,27 @@
 constexpr duration max_sleep = 1s;
 constexpr duration min_sleep = 1ms;
 
+nlohmann::json describe(const send_restriction& restriction, time_point now)
+{
+    const auto milliseconds = [](duration length) {
+        return std::chrono::duration<double, std::milli>(length).count();
+    };
+    nlohmann::json text{{"because", name_of(restriction.because_)}};
+    if (restriction.source_) {
+        text["source"] = name_of(*restriction.source_);
+    }
+    if (restriction.since_) {
+        text["for_ms"] = milliseconds(now - *restriction.since_);
+    }
+    if (restriction.ends_at_) {
+        text["ends_in_ms"] = milliseconds(*restriction.ends_at_ - now);
+    }
+    if (restriction.per_second_) {
+        text["per_second"] = *restriction.per_second_;
+    }
+    return text;
+}
+
 } // namespace
 
 call_path::call_path(event_loop& loop, const clock_port& clock, random_port& random, claim_port& claims,
@@ -124,21 +145,13 @@
             row["failure_rate"] = upstream->failure_rate(clock_.now());
             row["ejected"] = upstream->ejected(clock_.now());
             row["leaving"] = upstream->leaving();
-            const auto& gate = upstream->gate();
-            if (gate.paused_until() > clock_.now()) {
-                row["wants_requests_in_ms"] =
-                    std::chrono::duration<double, std::milli>(gate.paused_until() - clock_.now()).count();
-            }
-            if (const auto limit = gate.limit().latest().per_second_) {
-                row["rate_limit_per_second"] = *limit;
+            if (const auto restriction = upstream->gate().restriction(clock_.now())) {
+                row["restricted"] = describe(*restriction, clock_.now());
             }
             if (const auto report_time = upstream->report_time()) {
                 row["report_age_ms"] =
                     std::chrono::duration<double, std::milli>(clock_.now() - *report_time).count();
             }
-            if (const auto reason = gate.reason_for_leaving()) {
-                row["leaving_because"] = name_of(*reason);
-            }
         }
     }
     return services;
--- a/tests/core/send_gate_test.cpp
+++ b/tests/core/send_gate_test.cpp
@@ -177,6 +177,38 @@
     CHECK(gate.obstacle(send_purpose::call, now) == send_obstacle::unlisted);
 }
 
+TEST_CASE("a gate tells operators what restricts requests, since when, until when and on whose word")
+{
+    const time_point now{1h};
+    send_gate gate;
+    CHECK_FALSE(gate.restriction(now).has_value());
+
+    gate.on_report({false, std::nullopt, 5s}, true, now, now);
+    gate.on_report({false, std::nullopt, 5s}, true, now, now + 1s);
+    const auto pause = gate.restriction(now + 2s);
+    REQUIRE(pause.has_value());
+    CHECK(pause->because_ == send_obstacle::retry_after);
+    CHECK(pause->since_ == now);
+    CHECK(pause->ends_at_ == now + 6s);
+    CHECK_FALSE(gate.restriction(now + 6s).has_value());
+
+    gate.on_peer_limit({2.5, now + 3s}, now + 3s);
+    const auto limited = gate.restriction(now + 4s);
+    REQUIRE(limited.has_value());
+    CHECK(limited->because_ == send_obstacle::rate_limit);
+    CHECK(limited->per_second_ == 2.5);
+    CHECK(limited->since_ == now + 3s);
+
+    gate.mark_leaving(leaving_source::peer, now + 5s);
+    gate.mark_leaving(leaving_source::upstream_itself, now + 6s);
+    const auto leaving = gate.restriction(now + 7s);
+    REQUIRE(leaving.has_value());
+    CHECK(leaving->because_ == send_obstacle::leaving);
+    CHECK(leaving->source_ == leaving_source::peer);
+    CHECK(leaving->since_ == now + 5s);
+    CHECK_FALSE(leaving->ends_at_.has_value());
+}
+
 TEST_CASE("each way in which a call reaches an upstream asks its gate")
 {
     for (const auto& route : ways()) {
