--- a/src/adapters/logging/decision_log.cpp
+++ b/src/adapters/logging/decision_log.cpp
@@ -54,6 +54,19 @@
                {"left_out", *suppressed_lines}});
 }
 
+void decision_log::on_pause_asked(const std::string& service, const std::string& upstream, duration pause)
+{
+    const auto suppressed_lines = pause_limiter_.admit(clock_.now());
+    if (!suppressed_lines) {
+        return;
+    }
+    write_log(log_level::info, "upstream_pause",
+              {{"service", service},
+               {"upstream", upstream},
+               {"pause_ms", milliseconds(pause)},
+               {"left_out", *suppressed_lines}});
+}
+
 void decision_log::on_decision(const call_decision& decision)
 {
     const auto suppressed_lines = decision_limiters_[decision.kind_].admit(clock_.now());
@@ -79,6 +92,7 @@
                {"waiting", decision.waiting_},
                {"attempts", decision.attempts_},
                {"reason", decision.reason_},
+               {"restricted", decision.restricted_},
                {"left_out", *suppressed_lines}});
 }
 
--- a/src/adapters/metrics/call_metrics.h
+++ b/src/adapters/metrics/call_metrics.h
@@ -69,6 +69,11 @@
         first_.on_rate_limit_changed(service, upstream, per_second);
         second_.on_rate_limit_changed(service, upstream, per_second);
     }
+    void on_pause_asked(const std::string& service, const std::string& upstream, duration pause) override
+    {
+        first_.on_pause_asked(service, upstream, pause);
+        second_.on_pause_asked(service, upstream, pause);
+    }
 
 private:
     call_observer& first_;
--- a/src/core/calls/call_engine_reports.cpp
+++ b/src/core/calls/call_engine_reports.cpp
@@ -14,6 +14,9 @@
     decision.attempts_ = state.attempts_made_;
     if (const auto* service = find_service(state.call_.service_)) {
         decision.waiting_ = service->queue_.size();
+        if (kind == decision_kind::rejected || kind == decision_kind::waits) {
+            decision.restricted_ = service->restricted(now());
+        }
         if (upstream != nullptr) {
             decision.expected_finish_ = expected_finish(*upstream, service->context_for(state.call_, now()));
             decision.slowdown_ = upstream->slowdown(now(), service->typical_slowdown());
@@ -123,6 +126,9 @@
     if (changed.leaving_ && on_leaving_) {
         on_leaving_(service.name(), upstream.name());
     }
+    if (changed.paused_) {
+        ports_.observer_.on_pause_asked(service.name(), upstream.name(), *report.retry_after_);
+    }
     if (changed.rate_limit_) {
         ports_.observer_.on_rate_limit_changed(service.name(), upstream.name(),
                                                upstream.gate().limit().latest().per_second_);
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -262,6 +262,17 @@
     });
 }
 
+std::map<std::string, int> service_state::restricted(time_point now) const
+{
+    std::map<std::string, int> counts;
+    for (const auto& [unused, tracker] : upstreams_) {
+        if (const auto obstacle = tracker->gate().obstacle(send_purpose::call, now)) {
+            ++counts[std::string(name_of(*obstacle))];
+        }
+    }
+    return counts;
+}
+
 upstream_tracker* service_state::find(const std::string& upstream)
 {
     const auto found = upstreams_.find(upstream);
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -62,6 +62,9 @@
     /// True when at least one upstream outside `tried` receives calls, whether or not it has room now.
     [[nodiscard]] bool has_eligible_upstream(const std::set<std::string>& tried) const;
 
+    /// Number of upstreams that may get no call now because of what is said of them, by the reason's name.
+    [[nodiscard]] std::map<std::string, int> restricted(time_point now) const;
+
     /// Returns the earliest time at which an upstream outside `tried` wants requests from this node again; in
     /// the past while one of them does.
     [[nodiscard]] time_point held_until(const std::set<std::string>& tried) const;
--- a/src/core/upstreams/send_gate.cpp
+++ b/src/core/upstreams/send_gate.cpp
@@ -14,7 +14,8 @@
         mark_leaving(leaving_source::upstream_itself, now);
     }
     if (report.retry_after_) {
-        paused_since_ = now < paused_until_ ? paused_since_ : now;
+        changed.paused_ = now >= paused_until_;
+        paused_since_ = changed.paused_ ? now : paused_since_;
         paused_until_ = std::max(paused_until_, now + *report.retry_after_);
     }
     changed.rate_limit_ = limit_.on_response(report.rate_limit_, served, sent_at, now);
--- a/src/core/upstreams/send_gate.h
+++ b/src/core/upstreams/send_gate.h
@@ -63,6 +63,7 @@
     struct changes {
         bool leaving_ = false;
         bool rate_limit_ = false;
+        bool paused_ = false; ///< A pause began; it is not told of those that prolong one.
     };
 
     /// Applies what the upstream said in a response, at `now`, to a request that was sent at `sent_at`.
--- a/src/ports/call_observer.h
+++ b/src/ports/call_observer.h
@@ -6,6 +6,9 @@
 #include "vocabulary/enum_names.h"
 #include "vocabulary/problem.h"
 
+#include <map>
+#include <string>
+
 namespace anvilpost {
 
 /// Kind of a decision that the call engine took about a call.
@@ -36,6 +39,8 @@
     duration expected_finish_{};         ///< Estimated time until the upstream finishes the call.
     std::size_t waiting_ = 0;            ///< Calls that wait for a slot of the service.
     int attempts_ = 0;                   ///< Attempts of the call so far.
+    /// Upstreams of the service that may get nothing now, by the reason; for calls that wait or are rejected.
+    std::map<std::string, int> restricted_;
 };
 
 /// Outcome of one call as its caller saw it.
@@ -64,6 +69,10 @@
     /// Called when a response to this node named a new rate limit in requests per second, or ended one
     /// (empty). The names are those of the service and the upstream.
     virtual void on_rate_limit_changed(const std::string&, const std::string&, std::optional<double>) {}
+
+    /// Called when a response to this node asked it for a pause. The names are those of the service and the
+    /// upstream.
+    virtual void on_pause_asked(const std::string&, const std::string&, duration) {}
 };
 
 } // namespace anvilpost
--- a/tests/core/fakes.h
+++ b/tests/core/fakes.h
@@ -70,7 +70,14 @@
 class recording_observer : public call_observer {
 public:
     void on_call_finished(const call_record& record) override { records_.push_back(record); }
+    void on_decision(const call_decision& decision) override { last_decision_ = decision; }
+    void on_pause_asked(const std::string&, const std::string& upstream, duration pause) override
+    {
+        pauses_.push_back({upstream, pause});
+    }
     std::vector<call_record> records_;
+    call_decision last_decision_;
+    std::vector<std::pair<std::string, duration>> pauses_;
 };
 
 /// A call engine with fakes for its ports and one service "desk" of `upstreams` upstreams u1, u2, ...
--- a/tests/core/send_gate_test.cpp
+++ b/tests/core/send_gate_test.cpp
@@ -229,6 +229,21 @@
     }
 }
 
+TEST_CASE("a rejection tells what restricts the service's upstreams, and a pause is reported when it begins")
+{
+    earliest_finish_fixture fixture(3);
+    fixture.engine_.on_probe_report("desk", "u1", {true});
+    fixture.engine_.on_probe_report("desk", "u2", {false, std::nullopt, 2s});
+    fixture.engine_.on_probe_report("desk", "u2", {false, std::nullopt, 3s});
+    fixture.engine_.on_probe_report("desk", "u3", {false, std::nullopt, 4s});
+    fixture.send_call(true);
+    const auto& decision = fixture.observer_.last_decision_;
+    CHECK(decision.kind_ == decision_kind::rejected);
+    CHECK(decision.restricted_ == std::map<std::string, int>{{"leaving", 1}, {"retry_after", 2}});
+    REQUIRE(fixture.observer_.pauses_.size() == 2);
+    CHECK(fixture.observer_.pauses_[0] == std::pair<std::string, duration>("u2", 2s));
+}
+
 TEST_CASE("the probe scheduler asks the gate")
 {
     for (const auto& said : statements()) {
