Soak: the age of a request that was forwarded to a paused node proves nothing

The exemption for requests that a paused node reads late only looked at the node that the caller had chosen. Ruled out: the forwarding itself; in each trace the header shrank by less than a millisecond at the forwarding node. Change: the exemption also covers requests whose node was cut off within the settling time, while any node was paused within it. Nothing else is exempt.

--- a/testing/test_deployment/test_deployment.cpp
+++ b/testing/test_deployment/test_deployment.cpp
@@ -313,6 +313,11 @@
 
 void test_deployment::partition_from_workers(const std::set<int>& nodes, partition_kind kind)
 {
+    for (int i = 0; i < settings_.nodes_; ++i) {
+        auto& node = nodes_.at(index(i));
+        node.last_cut_off_ = node.cut_off_ ? now() : node.last_cut_off_;
+        node.cut_off_ = nodes.contains(i);
+    }
     std::vector<pid_t> processes;
     for (const int node : nodes) {
         if (node_runs(node)) {
--- a/testing/test_deployment/test_deployment.h
+++ b/testing/test_deployment/test_deployment.h
@@ -152,8 +152,10 @@
         bool was_stable_ = false;
         bool restart_ = false;
         time_point stop_requested_at_{};
-        bool paused_ = false;     ///< SIGSTOP or SIGCONT was sent at least once.
-        time_point last_pause_{}; ///< When SIGSTOP or SIGCONT was last sent.
+        bool cut_off_ = false;      ///< By `partition_from_workers`.
+        time_point last_cut_off_{}; ///< End of the last partition that included it.
+        bool paused_ = false;       ///< SIGSTOP or SIGCONT was sent at least once.
+        time_point last_pause_{};   ///< When SIGSTOP or SIGCONT was last sent.
     };
 
     static constexpr duration stall_check_period = std::chrono::milliseconds(20);
@@ -172,6 +174,8 @@
     void check_for_stall();
     [[nodiscard]] bool stalled_recently() const;
     [[nodiscard]] bool paused_recently(int number) const;
+    /// True when the node may have passed requests on to another node that was paused then.
+    [[nodiscard]] bool forwarded_to_paused_recently(int number) const;
     node_choice choose_node();
     request_kind choose_kind();
 
--- a/testing/test_deployment/test_deployment_checks.cpp
+++ b/testing/test_deployment/test_deployment_checks.cpp
@@ -62,6 +62,19 @@
     return node.paused_ && now() - node.last_pause_ < platform_bounds::settling_time;
 }
 
+bool test_deployment::forwarded_to_paused_recently(int number) const
+{
+    const auto& node = nodes_.at(index(number));
+    const bool cut_off = node.cut_off_ || (node.last_cut_off_ != time_point{} &&
+                                           now() - node.last_cut_off_ < platform_bounds::settling_time);
+    for (int i = 0; cut_off && i < settings_.nodes_; ++i) {
+        if (paused_recently(i)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void test_deployment::check_for_stall()
 {
     const auto gap = now() - last_stall_check_;
@@ -85,9 +98,10 @@
 {
     const auto* request = checker_.find(received.request_id_);
     // A paused node reads a request late and can't know how long it waited.
-    received.timing_unreliable_ = (request != nullptr && paused_recently(request->node_)) ||
-                                  worker_link(number).had_fault_within(platform_bounds::settling_time) ||
-                                  stalled_recently();
+    received.timing_unreliable_ =
+        (request != nullptr &&
+         (paused_recently(request->node_) || forwarded_to_paused_recently(request->node_))) ||
+        worker_link(number).had_fault_within(platform_bounds::settling_time) || stalled_recently();
     checker_.on_arrival(received);
     const auto& record = workers_.at(index(number));
     const bool draining = record.instance_ != nullptr && record.instance_->draining();
