Services: upstreams are found by hash, and finished ones looked for only when there are any

Load: at 472 nodes every node gets loads and probe results of 1,080 upstreams several times a second from others. Change: an index by hash beside the ordered map; the walk only while an unlisted upstream is left.

--- a/bench/exchange_cost.cpp
+++ b/bench/exchange_cost.cpp
@@ -3,8 +3,8 @@
 // table printed.
 #include "core/exchange_network.h"
 
-#include <chrono>
 #include <cstdio>
+#include <ctime>
 
 using namespace anvilpost;
 using namespace anvilpost::testing;
@@ -18,7 +18,7 @@
 
 /// Cost of the exchange, averaged over the nodes unless stated otherwise.
 struct cost {
-    double cpu_ms_ = 0;           ///< Processor time per node and second, taken from the elapsed time.
+    double cpu_ms_ = 0;           ///< Processor time per node and second.
     double messages_ = 0;         ///< Messages, per node and second.
     double busiest_messages_ = 0; ///< Messages per second of the busiest node.
     double kilobytes_ = 0;        ///< Bytes sent per node and second, in kB.
@@ -55,15 +55,16 @@
     for (const auto& node : net.nodes_) {
         before.push_back(node->exchange_.counters());
     }
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = std::clock();
     for (duration done{}; done < measurement_time; done += probe_period) {
         record_probe_results(net);
         net.run(probe_period);
     }
-    const std::chrono::duration<double, std::milli> elapsed = std::chrono::steady_clock::now() - start;
+    constexpr double ms_per_s = 1000;
+    const double elapsed_ms = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC * ms_per_s;
     cost total;
     const double node_seconds = nodes * std::chrono::duration<double>(measurement_time).count();
-    total.cpu_ms_ = elapsed.count() / node_seconds;
+    total.cpu_ms_ = elapsed_ms / node_seconds;
     for (std::size_t i = 0; i < net.nodes_.size(); ++i) {
         const auto& now = net.nodes_[i]->exchange_.counters();
         const auto sent = static_cast<double>(now.messages_sent_ - before[i].messages_sent_);
@@ -81,7 +82,7 @@
 int main()
 {
     std::printf("| nodes | data centres | ms/s | messages/s | busiest | KB/s |\n|---|---|---|---|---|---|\n");
-    for (const auto& [nodes, data_centres] : {std::pair{13, 3}, {30, 3}, {109, 3}, {300, 9}}) {
+    for (const auto& [nodes, data_centres] : {std::pair{13, 3}, {30, 3}, {109, 3}, {300, 9}, {472, 5}}) {
         const auto result = measure(nodes, data_centres);
         std::printf("| %d | %d | %.1f | %.0f | %.0f | %.1f |\n", nodes, data_centres, result.cpu_ms_,
                     result.messages_, result.busiest_messages_, result.kilobytes_);
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -66,7 +66,9 @@
     for (const auto& [name, upstream] : config.upstreams_) {
         const auto found = upstreams_.find(name);
         if (found == upstreams_.end()) {
-            upstreams_.emplace(name, std::make_unique<upstream_tracker>(name, upstream, now));
+            const auto added =
+                upstreams_.emplace(name, std::make_unique<upstream_tracker>(name, upstream, now)).first;
+            upstreams_by_name_[name] = added->second.get();
         }
         else {
             found->second->configure(upstream, now);
@@ -75,6 +77,7 @@
     for (const auto& [name, tracker] : upstreams_) {
         if (!config.upstreams_.contains(name)) {
             tracker->mark_unlisted();
+            has_unlisted_ = true;
         }
     }
     drop_finished_upstreams();
@@ -100,8 +103,17 @@
 
 void service_state::drop_finished_upstreams()
 {
-    std::erase_if(upstreams_, [](const auto& entry) {
-        return !entry.second->listed() && entry.second->in_flight() == 0;
+    if (!has_unlisted_) {
+        return;
+    }
+    has_unlisted_ = false;
+    std::erase_if(upstreams_, [&](const auto& entry) {
+        const bool finished = !entry.second->listed() && entry.second->in_flight() == 0;
+        has_unlisted_ = has_unlisted_ || (!finished && !entry.second->listed());
+        if (finished) {
+            upstreams_by_name_.erase(entry.first);
+        }
+        return finished;
     });
 }
 
@@ -109,6 +121,7 @@
 {
     for (const auto& [unused, tracker] : upstreams_) {
         tracker->mark_unlisted();
+        has_unlisted_ = true;
     }
 }
 
@@ -275,8 +288,8 @@
 
 upstream_tracker* service_state::find(const std::string& upstream)
 {
-    const auto found = upstreams_.find(upstream);
-    return found == upstreams_.end() ? nullptr : found->second.get();
+    const auto found = upstreams_by_name_.find(upstream);
+    return found == upstreams_by_name_.end() ? nullptr : found->second;
 }
 
 void service_state::on_load(upstream_tracker& upstream, const load_report& report, time_point measured_at)
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace anvilpost {
@@ -185,6 +186,9 @@
     contention_estimator contention_;
     std::map<std::string, duration> work_by_route_; ///< Smoothed work of served calls.
     std::map<std::string, std::unique_ptr<upstream_tracker>> upstreams_;
+    /// The same trackers: nodes report on hundreds of upstreams many times a second.
+    std::unordered_map<std::string, upstream_tracker*> upstreams_by_name_;
+    bool has_unlisted_ = false; ///< Some tracker is only kept for its calls in flight.
 };
 
 } // namespace anvilpost
