Fleet: a node's tick no longer walks all upstreams and peers when there is nothing to do

Ruled out: longer ticks. Loads and early notices would be later for callers. Change: each walk is made only when something is due: a message, a notice of a limit or a limit in force, an entry that has lapsed, a call that waits. What is decided, and when, is unchanged, with one exception: a node that becomes a prober sends its first loads up to 60 ms later.

--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -146,6 +146,9 @@
     [[nodiscard]] upstream_reachability& reachability() { return reachability_; }
     [[nodiscard]] const upstream_reachability& reachability() const { return reachability_; }
 
+    /// Number of notices of rate limits that were new to this node; without one, nothing is to be divided.
+    [[nodiscard]] std::uint64_t rate_limit_notices() const { return rate_limit_notices_; }
+
     /// Called when a request breaks an upstream that it has not broken before, so that other nodes can be
     /// notified.
     std::function<void(std::uint64_t fingerprint, const std::string& upstream)> on_strike_;
@@ -261,6 +264,7 @@
     std::set<std::pair<time_point, call_id>> wakeups_; ///< One timer per call that is not being relayed.
     crash_suspects suspects_;
     upstream_reachability reachability_;
+    std::uint64_t rate_limit_notices_ = 0;
     std::uint64_t next_attempt_ = 1;
     fleet_position position_;
     std::optional<time_point> waiting_deadline_; ///< Set by `set_waiting_deadline`.
--- a/src/core/calls/call_engine_reports.cpp
+++ b/src/core/calls/call_engine_reports.cpp
@@ -122,7 +122,9 @@
 void call_engine::apply_self_report(const service_state& service, upstream_tracker& upstream,
                                     const self_report& report, bool served, time_point sent_at)
 {
+    const auto learnt_at = upstream.gate().limit().latest().learnt_at_;
     const auto changed = upstream.gate().on_report(report, served, sent_at, now());
+    rate_limit_notices_ += upstream.gate().limit().latest().learnt_at_ != learnt_at ? 1 : 0;
     if (changed.leaving_ && on_leaving_) {
         on_leaving_(service.name(), upstream.name());
     }
@@ -147,7 +149,9 @@
                                      const rate_limit_notice& notice)
 {
     if (auto* tracker = find_upstream(service, upstream)) {
+        const auto learnt_at = tracker->gate().limit().latest().learnt_at_;
         tracker->gate().on_peer_limit(notice, now());
+        rate_limit_notices_ += tracker->gate().limit().latest().learnt_at_ != learnt_at ? 1 : 0;
     }
 }
 
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -116,9 +116,12 @@
 
 void call_engine::start_waiting_calls(service_state& service)
 {
+    if (service.queue_.empty()) {
+        return;
+    }
     const bool may_start =
         service.has_any_room(now()) || reachability_.cut_off(now()) || service.held_until({}) > now();
-    if (service.queue_.empty() || !may_start) {
+    if (!may_start) {
         return;
     }
     for (const call_id next : service.queue_.in_order(now())) {
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -327,20 +327,29 @@
 
 void peer_exchange::send_to_local_peers(time_point now)
 {
+    const bool may_be_due =
+        now >= next_status_ || now >= next_loads_ || (has_few_local_peers_ && early_status_due_);
+    if (!may_be_due) {
+        return;
+    }
     const auto local_peers = peers_.reachable_local_peers(now);
     if (local_peers.empty()) {
         return;
     }
     const bool few = local_peers.size() <= few_local_peers;
+    has_few_local_peers_ = few;
     const bool status_due =
         now >= next_status_ || (few && early_status_due_ && now - last_load_send_ >= min_send_gap);
-    const bool loads_due = now >= next_loads_ && (few || duties_.is_prober() || duties_.leads());
+    const bool load_period_ended = now >= next_loads_;
+    const bool loads_due = load_period_ended && (few || duties_.is_prober() || duties_.leads());
+    if (load_period_ended) {
+        next_loads_ = now + (few ? load_period : load_period_in_large_data_centre);
+    }
     if (!status_due && !loads_due) {
         return;
     }
     auto message = make_message(now);
     if (loads_due) {
-        next_loads_ = now + (few ? load_period : load_period_in_large_data_centre);
         add_new_loads(message, now);
         last_load_send_ = now;
     }
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -187,11 +187,14 @@
     std::map<std::pair<std::uint32_t, std::uint64_t>, time_point> leaving_;
     /// Upstreams that name a rate limit, or whose limit ended a short time ago.
     std::vector<std::uint32_t> rate_limited_;
+    bool limits_known_ = false;         ///< A limit is active or ended a short time ago.
+    std::uint64_t divided_notices_ = 0; ///< Notices that the engine had when limits were last divided.
     std::uint64_t sequence_ = 0;
     static constexpr std::size_t tracked_messages = 1024;
     std::array<time_point, tracked_messages> sent_at_{}; ///< By sequence number modulo the size.
-    bool early_status_due_ = false; ///< A change of calls in flight or a strike waits to be sent early.
-    bool loads_changed_ = false;    ///< Since the engine last applied loads.
+    bool early_status_due_ = false;   ///< A change of calls in flight or a strike waits to be sent early.
+    bool has_few_local_peers_ = true; ///< As of the last periodic message.
+    bool loads_changed_ = false;      ///< Since the engine last applied loads.
     time_point next_status_{};
     time_point next_loads_{};
     time_point next_leaders_{};
--- a/src/core/fleet/peer_exchange_notices.cpp
+++ b/src/core/fleet/peer_exchange_notices.cpp
@@ -28,6 +28,12 @@
 /// Finds the upstreams that limit their rate and sets this node's shares of the limits.
 void peer_exchange::divide_rate_limits(time_point now)
 {
+    const auto notices = ports_.engine_.rate_limit_notices();
+    if (!limits_known_ && notices == divided_notices_) {
+        return; // No upstream limits its rate: the usual case, at up to thousands of upstreams.
+    }
+    divided_notices_ = notices;
+    limits_known_ = false;
     rate_limited_.clear();
     for (const auto& [service, state] : ports_.engine_.services()) {
         for (const auto& [name, tracker] : state.upstreams()) {
@@ -37,6 +43,7 @@
             if (!latest.per_second_ && !known_lately) {
                 continue;
             }
+            limits_known_ = true;
             const auto key = upstream_key(service, name);
             if (find_upstream(key) != nullptr) {
                 rate_limited_.push_back(key);
--- a/src/core/upstreams/upstream_registry.cpp
+++ b/src/core/upstreams/upstream_registry.cpp
@@ -70,6 +70,7 @@
         }
         if (item.lapsed_) {
             found->second.lapsed_at_ = clock_.now();
+            has_lapsed_ = true;
             report_event(kind::kept_after_lapse, item.name_, item.revision_);
             return false;
         }
@@ -136,11 +137,18 @@
 bool upstream_registry::drop_lapsed()
 {
     departed_.remove_until(clock_.now() - departed_retention);
+    if (!has_lapsed_) {
+        return false;
+    }
+    has_lapsed_ = false;
     std::vector<std::string> expired;
     for (const auto& [name, registered] : entries_) {
         if (registered.lapsed_at_ && clock_.now() - *registered.lapsed_at_ > lapse_grace_) {
             expired.push_back(name);
         }
+        else if (registered.lapsed_at_) {
+            has_lapsed_ = true;
+        }
     }
     for (const auto& name : expired) {
         remove(name, 0);
--- a/src/core/upstreams/upstream_registry.h
+++ b/src/core/upstreams/upstream_registry.h
@@ -100,6 +100,7 @@
     /// Longer than an upstream goes on serving after it has announced that it leaves.
     static constexpr duration departed_retention = std::chrono::minutes(10);
     static constexpr std::size_t max_departed = 10'000;
+    bool has_lapsed_ = false;            ///< Some entry may be in its grace period.
     recent_keys departed_{max_departed}; ///< Incarnations that were leaving when their entry was removed.
 };
 
