--- a/tests/core/peer_exchange_test.cpp
+++ b/tests/core/peer_exchange_test.cpp
@@ -18,15 +18,21 @@
                                    verified_at);
 }
 
+/// Adds nodes n0, n1, ... in the data centre north and as many, s0, s1, ..., in south, by turns.
+void add_to_both_data_centres(network& net, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        net.add("n" + std::to_string(i), "north");
+        net.add("s" + std::to_string(i), "south");
+    }
+}
+
 } // namespace
 
 TEST_CASE("nodes discover each other through one seed, also across data centres")
 {
     network net;
-    for (int i = 0; i < 4; ++i) {
-        net.add("n" + std::to_string(i), "north");
-        net.add("s" + std::to_string(i), "south");
-    }
+    add_to_both_data_centres(net, 4);
     net.run(3s);
     for (const auto& node : net.nodes_) {
         CHECK(node->exchange_.peers().live(net.clock_.now()).size() == 7);
@@ -36,10 +42,7 @@
 TEST_CASE("one node of the fleet watches the store, and each data centre has one leader")
 {
     network net;
-    for (int i = 0; i < 4; ++i) {
-        net.add("n" + std::to_string(i), "north");
-        net.add("s" + std::to_string(i), "south");
-    }
+    add_to_both_data_centres(net, 4);
     net.run(3s);
     int watchers = 0;
     int leaders = 0;
@@ -72,10 +75,7 @@
 TEST_CASE("an upstream has one prober, in its own data centre")
 {
     network net;
-    for (int i = 0; i < 4; ++i) {
-        net.add("n" + std::to_string(i), "north");
-        net.add("s" + std::to_string(i), "south");
-    }
+    add_to_both_data_centres(net, 4);
     net.run(3s);
     int probers = 0;
     for (const auto& node : net.nodes_) {
@@ -166,10 +166,7 @@
 TEST_CASE("strikes reach every node, and nodes stop sending them after a while")
 {
     network net;
-    for (int i = 0; i < 3; ++i) {
-        net.add("n" + std::to_string(i), "north");
-        net.add("s" + std::to_string(i), "south");
-    }
+    add_to_both_data_centres(net, 3);
     net.run(2s);
     for (int upstream = 0; upstream < 3; ++upstream) {
         net.nodes_.front()->engine_.on_peer_strike(77, "u" + std::to_string(upstream));
@@ -363,10 +360,7 @@
 TEST_CASE("a rate limit that one node learns reaches the nodes of all data centres, and so does its end")
 {
     network net;
-    for (int i = 0; i < 3; ++i) {
-        net.add("n" + std::to_string(i), "north");
-        net.add("s" + std::to_string(i), "south");
-    }
+    add_to_both_data_centres(net, 3);
     net.run(3s);
     const auto limit_at = [&](const auto& node) {
         return node->engine_.find_upstream("log", "u1")->gate().limit().latest().per_second_;
@@ -430,10 +424,7 @@
 {
     network net;
     net.config_.services_["log"].upstreams_["u1"].incarnation_ = "first";
-    for (int i = 0; i < 3; ++i) {
-        net.add("n" + std::to_string(i), "north");
-        net.add("s" + std::to_string(i), "south");
-    }
+    add_to_both_data_centres(net, 3);
     net.run(3s);
     auto& late = net.add("n3", "north"); // It has read of the next incarnation already.
     net.run(1s);
--- a/tests/end_to_end/platform_node_test.cpp
+++ b/tests/end_to_end/platform_node_test.cpp
@@ -43,6 +43,20 @@
     return deployment.served_share(deployment.now() - 1s) >= min_served_share;
 }
 
+/// Checks that requests of the route "pages" sent after `from` ran, and only at workers of the service "log".
+void check_pages_run_at_log(test_deployment& deployment, time_point from)
+{
+    int moved = 0;
+    for (const auto& [unused, request] : deployment.checker().requests()) {
+        if (request.sent_at_ > from && request.path_.starts_with("/pages/") && !request.ran_at_.empty()) {
+            // Workers 0 and 1 belong to "desk"; higher numbers belong to "log".
+            CHECK(std::stoi(request.ran_at_.front().substr(1)) >= 2);
+            ++moved;
+        }
+    }
+    CHECK(moved > 0);
+}
+
 void start_serving(test_deployment& deployment)
 {
     deployment.run_for(1s);
@@ -91,15 +105,7 @@
     const auto from = deployment.now();
     deployment.run_for(2s);
     deployment.finish();
-    int moved = 0;
-    for (const auto& [unused, request] : deployment.checker().requests()) {
-        if (request.sent_at_ > from && request.path_.starts_with("/pages/") && !request.ran_at_.empty()) {
-            // Workers 0 and 1 belong to "desk"; higher numbers belong to "log".
-            CHECK(std::stoi(request.ran_at_.front().substr(1)) >= 2);
-            ++moved;
-        }
-    }
-    CHECK(moved > 0);
+    check_pages_run_at_log(deployment, from);
 }
 
 TEST_CASE("nodes keep serving while the store is unavailable and apply changes once it is back",
@@ -159,15 +165,7 @@
     deployment.run_for(2s);
     CHECK(is_serving(deployment));
     deployment.finish();
-    int moved = 0;
-    for (const auto& [unused, request] : deployment.checker().requests()) {
-        if (request.sent_at_ > from && request.path_.starts_with("/pages/") && !request.ran_at_.empty()) {
-            // Workers 0 and 1 belong to "desk"; higher numbers belong to "log".
-            CHECK(std::stoi(request.ran_at_.front().substr(1)) >= 2);
-            ++moved;
-        }
-    }
-    CHECK(moved > 0);
+    check_pages_run_at_log(deployment, from);
     const auto& violations = deployment.checker().violations();
     INFO((violations.empty() ? std::string() : violations.front()));
     CHECK(violations.empty());
