--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -17,7 +17,6 @@
 
 constexpr duration sweep_period = std::chrono::milliseconds(500);
 constexpr int first_final_status = 200;
-constexpr int service_unavailable = 503;
 
 /// Share of the idle timeout announced by an upstream (Keep-Alive header) during which a connection is
 /// reused. Later, a request could be sent just as the upstream closes the connection.
