Observability: why a dispatcher refuses a slot, and views of the store that are overdue

Change: service_state::reason_to_hold names the reason (both callers had the same three checks); dispatchers log each refused slot request with it, the expected finish that was offered, the typical slowdown and the slots granted. Nodes log when their view becomes overdue and current again, and count it (views_overdue_total). No decision changes.

--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -189,9 +189,7 @@
         return true;
     }
     auto* upstream = service->choose(state.call_, state.tried_, ports_.random_, now());
-    if (upstream == nullptr || service->better_to_wait(state.call_, *upstream, now()) ||
-        service->unlikely_to_meet_deadline(state.call_, *upstream, now()) ||
-        service->reserved_for_timely_calls(state.call_, *upstream, now())) {
+    if (service->reason_to_hold(state.call_, upstream, now())) {
         return false;
     }
     const auto permit = upstream->gate().take(send_purpose::call, now());
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -316,6 +316,24 @@
     return find(candidates[chosen]->name());
 }
 
+std::optional<hold_reason> service_state::reason_to_hold(const call& wanted, const upstream_tracker* offered,
+                                                         time_point now) const
+{
+    if (offered == nullptr) {
+        return hold_reason::no_room;
+    }
+    if (better_to_wait(wanted, *offered, now)) {
+        return hold_reason::better_to_wait;
+    }
+    if (unlikely_to_meet_deadline(wanted, *offered, now)) {
+        return hold_reason::too_late_there;
+    }
+    if (reserved_for_timely_calls(wanted, *offered, now)) {
+        return hold_reason::reserved_for_timely_calls;
+    }
+    return std::nullopt;
+}
+
 bool service_state::better_to_wait(const call& wanted, const upstream_tracker& offered, time_point now) const
 {
     if (!uses_earliest_finish()) {
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -14,6 +14,7 @@
 #include "core/configuration/configuration.h"
 #include "core/upstreams/upstream_tracker.h"
 #include "vocabulary/call.h"
+#include "vocabulary/enum_names.h"
 #include "vocabulary/recent_keys.h"
 
 #include <algorithm>
@@ -33,6 +34,24 @@
     std::size_t cut_off_nodes_ = 0; ///< Live nodes that reach no upstream; always less than `nodes_`.
 };
 
+/// Why a call does not take the slot that it is offered.
+enum class hold_reason {
+    no_room,                  ///< No upstream has a free slot; nothing is offered.
+    better_to_wait,           ///< Another slot is expected soon, at which the call meets its objective.
+    too_late_there,           ///< The upstream is unlikely to answer before the deadline.
+    reserved_for_timely_calls ///< The slot is kept for calls that can still meet their objective.
+};
+
+template <>
+struct enum_names<hold_reason> {
+    static constexpr std::array<std::pair<hold_reason, std::string_view>, 4> table{{
+        {hold_reason::no_room, "no_room"},
+        {hold_reason::better_to_wait, "better_to_wait"},
+        {hold_reason::too_late_there, "too_late_there"},
+        {hold_reason::reserved_for_timely_calls, "reserved_for_timely_calls"},
+    }};
+};
+
 /// Chooses upstreams for the calls of one service and decides whether a call may start now.
 ///
 /// Invariants: the tracker of an upstream that has left the configuration is kept while it has calls in
@@ -84,20 +103,10 @@
     /// the past while one of them does.
     [[nodiscard]] time_point held_until(const std::set<std::string>& tried) const;
 
-    /// True when the call misses its latency objective at `offered` and is expected to meet it, and to finish
-    /// earlier, by waiting for another slot.
-    [[nodiscard]] bool better_to_wait(const call& wanted, const upstream_tracker& offered,
-                                      time_point now) const;
-
-    /// True when `offered` is unlikely to answer before the call's deadline, so that the call would only take
-    /// a slot from others.
-    [[nodiscard]] bool unlikely_to_meet_deadline(const call& wanted, const upstream_tracker& offered,
-                                                 time_point now) const;
-
-    /// True when the call would miss its latency objective at `offered` and the slot there is reserved for
-    /// calls that can still meet theirs.
-    [[nodiscard]] bool reserved_for_timely_calls(const call& wanted, const upstream_tracker& offered,
-                                                 time_point now) const;
+    /// Returns why the call should not take a slot at `offered` now, or nothing when it should.
+    /// `offered` is what `choose` returned.
+    [[nodiscard]] std::optional<hold_reason>
+    reason_to_hold(const call& wanted, const upstream_tracker* offered, time_point now) const;
 
     /// Returns nullptr for an unknown upstream.
     [[nodiscard]] upstream_tracker* find(const std::string& upstream);
@@ -190,6 +199,21 @@
     latency_window latencies_;   ///< Times from the start of an attempt to its response head.
 
 private:
+    /// True when the call misses its latency objective at `offered` and is expected to meet it, and to finish
+    /// earlier, by waiting for another slot.
+    [[nodiscard]] bool better_to_wait(const call& wanted, const upstream_tracker& offered,
+                                      time_point now) const;
+
+    /// True when `offered` is unlikely to answer before the call's deadline, so that the call would only take
+    /// a slot from others.
+    [[nodiscard]] bool unlikely_to_meet_deadline(const call& wanted, const upstream_tracker& offered,
+                                                 time_point now) const;
+
+    /// True when the call would miss its latency objective at `offered` and the slot there is reserved for
+    /// calls that can still meet theirs.
+    [[nodiscard]] bool reserved_for_timely_calls(const call& wanted, const upstream_tracker& offered,
+                                                 time_point now) const;
+
     /// Slots of a typical upstream: those of the first upstream by name.
     [[nodiscard]] int usual_slots() const;
 
--- a/src/core/dispatch/dispatch_exchange.h
+++ b/src/core/dispatch/dispatch_exchange.h
@@ -80,6 +80,13 @@
     [[nodiscard]] const dispatcher_selection& selection() const { return selection_; }
     [[nodiscard]] const dispatch_client& client() const { return client_; }
     [[nodiscard]] const dispatcher& own_dispatcher() const { return dispatcher_; }
+
+    /// Sets the listener for slot requests that this node refuses as a dispatcher.
+    void on_refused(std::function<void(const slot_refusal&)> listener)
+    {
+        dispatcher_.on_refused_ = std::move(listener);
+    }
+
     [[nodiscard]] const dispatch_exchange_counters& counters() const { return counters_; }
 
 private:
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -171,7 +171,7 @@
         return;
     }
     if (!from->state_.has_eligible_upstream(asked.tried_) || !may_wait(*from, asked)) {
-        refuse(key, from->state_.expected_queue_wait());
+        refuse(*from, asked, from->state_.expected_queue_wait());
         return;
     }
     const auto waiting = as_waiting(*from, wanted, asked.kind_);
@@ -199,7 +199,7 @@
 
 /// Grants the slot that the service chooses now. Returns false, changing nothing, when no upstream has room,
 /// or the request should wait instead or leave the slot to others.
-bool dispatcher::try_grant(pool& from, const waiting_request& request)
+bool dispatcher::try_grant(pool& from, waiting_request& request)
 {
     const auto now = clock_.now();
     auto& state = from.state_;
@@ -211,12 +211,13 @@
     state.set_connections(&connections);
     state.set_prefers_unused(true);
     auto* upstream = state.choose(request.call_, left_out, random_, now);
-    if (upstream == nullptr || state.better_to_wait(request.call_, *upstream, now) ||
-        state.unlikely_to_meet_deadline(request.call_, *upstream, now) ||
-        state.reserved_for_timely_calls(request.call_, *upstream, now)) {
+    const auto expected =
+        upstream == nullptr ? duration{} : expected_finish(*upstream, state.context_for(request.call_, now));
+    if (const auto reason = state.reason_to_hold(request.call_, upstream, now)) {
+        request.held_ = *reason;
+        request.offered_finish_ = expected;
         return false;
     }
-    const auto expected = expected_finish(*upstream, state.context_for(request.call_, now));
     const auto lease = std::chrono::duration_cast<duration>(expected * lease_factor) + lease_margin;
     if (state.schedules_by_cost()) {
         state.admission_.on_started(as_waiting(from, request.call_, request.kind_), now);
@@ -269,9 +270,9 @@
     auto decision = in.state_.admission_.decide(waiting, in.state_.capacity(now), now);
     for (const auto& refused : decision.refused_) {
         if (const auto found = waiting_.find(refused.id_); found != waiting_.end()) {
-            const auto key = found->second.key_;
+            const auto request = found->second;
             remove_waiting(refused.id_);
-            refuse(key, refused.expected_wait_);
+            refuse(in, request, refused.expected_wait_);
         }
     }
     return decision;
@@ -288,10 +289,23 @@
     outbox_.to(key.first).answers_.push_back({key.second, kind, upstream, time});
 }
 
-void dispatcher::refuse(const request_key& key, duration expected_wait)
+void dispatcher::refuse(pool& in, const waiting_request& request, duration expected_wait)
 {
     ++counters_.refused_;
-    answer(key, slot_answer_kind::refused, 0, expected_wait);
+    answer(request.key_, slot_answer_kind::refused, 0, expected_wait);
+    if (!on_refused_) {
+        return;
+    }
+    const auto now = clock_.now();
+    const auto& state = in.state_;
+    int granted = 0;
+    for (const auto& [unused, upstream] : state.upstreams()) {
+        granted += upstream->in_flight();
+    }
+    on_refused_({state.name(), request.call_.priority_, state.expected_work(request.call_),
+                 request.call_.objective_ - now, request.call_.deadline_ - now, request.held_,
+                 request.offered_finish_, state.typical_slowdown(), state.slots_of_this_node(), granted,
+                 state.queue_.size()});
 }
 
 void dispatcher::on_release(const slot_release& release, const std::string& node)
@@ -427,7 +441,7 @@
         if (!state.has_any_room(now) || failed >= max_failed_tries) {
             return;
         }
-        const auto& request = waiting_.at(id);
+        auto& request = waiting_.at(id);
         if (now - request.last_asked_ > waiting_timeout) {
             remove_waiting(id);
             continue;
@@ -461,9 +475,9 @@
             in.state_.queue_.add(as_waiting(in, request.call_, request.kind_));
         }
         if (gives_up) {
-            const auto key = request.key_;
+            const auto refused = request;
             remove_waiting(id);
-            refuse(key, in.state_.expected_queue_wait());
+            refuse(in, refused, in.state_.expected_queue_wait());
         }
     }
 }
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -31,6 +31,21 @@
     std::uint64_t took_over_ = 0; ///< Slots that holders reported and this node had not granted.
 };
 
+/// A refused slot request, and what the dispatcher knew of its service when it was last considered.
+struct slot_refusal {
+    std::string service_;
+    int priority_ = 0;
+    duration work_{}; ///< Expected.
+    duration to_objective_{};
+    duration to_deadline_{};
+    hold_reason held_ = hold_reason::no_room; ///< Why it got no slot.
+    duration offered_finish_{};               ///< Expected at the upstream that was offered, if any was.
+    double typical_slowdown_ = 1.0;
+    double slots_ = 0;        ///< Of the upstreams that receive calls.
+    int granted_ = 0;         ///< Slots granted now.
+    std::size_t waiting_ = 0; ///< Other requests of the service that wait.
+};
+
 /// Invariants: a slot request (node and number) is queued or granted, at most once; the calls in flight of a
 /// pool's upstream are the grants of that upstream.
 class dispatcher {
@@ -63,6 +78,9 @@
     /// Returns what is known of the upstreams of a service when its first request arrives.
     std::function<const service_state*(const std::string& service)> initial_loads_;
 
+    /// Called for each request that is refused.
+    std::function<void(const slot_refusal& refused)> on_refused_;
+
     [[nodiscard]] const dispatcher_counters& counters() const { return counters_; }
     [[nodiscard]] std::size_t granted() const { return grants_.size(); }
     [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
@@ -93,7 +111,9 @@
         std::set<std::string> tried_;
         std::string data_centre_;
         time_point last_asked_{};
-        bool counted_as_late_ = false; ///< It waits although it can no longer meet its objective.
+        bool counted_as_late_ = false;            ///< It waits although it can no longer meet its objective.
+        hold_reason held_ = hold_reason::no_room; ///< Why it got no slot when it was last tried.
+        duration offered_finish_{};               ///< Expected at the upstream that it was then offered.
     };
 
     struct pool {
@@ -107,7 +127,7 @@
     void on_request(const slot_request& request, const std::string& node, const std::string& data_centre);
     void on_release(const slot_release& release, const std::string& node);
     void on_renewal(const slot_renewal& renewal, const std::string& node);
-    bool try_grant(pool& from, const waiting_request& request);
+    bool try_grant(pool& from, waiting_request& request);
     /// Decides whether the request is queued, and refuses waiting ones that it displaces.
     bool may_wait(pool& in, const waiting_request& request);
     /// Refuses the waiting requests that should not wait any longer, and returns the order of the others.
@@ -115,7 +135,8 @@
     admission_decision schedule(pool& in, const waiting_request* arriving);
     [[nodiscard]] std::vector<call_id> order_of_service(pool& in);
     [[nodiscard]] static waiting_call as_waiting(const pool& in, const call& wanted, std::uint64_t kind);
-    void refuse(const request_key& key, duration expected_wait);
+    /// The request must not be queued any more.
+    void refuse(pool& in, const waiting_request& request, duration expected_wait);
     void answer(const request_key& key, slot_answer_kind kind, std::uint32_t upstream, duration time);
     void end_grant(const request_key& key, const slot_release& release);
     void serve_queue(pool& served);
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -91,6 +91,9 @@
     /// Returns the latest moment at which the view is known to have been current.
     [[nodiscard]] time_point verified_at() const { return verified_at_; }
     [[nodiscard]] duration age() const { return clock_.now() - verified_at_; }
+
+    /// True while a change of the store may have been missing here for longer than the bound.
+    [[nodiscard]] bool overdue() const { return complete_ && age() > settings_.max_staleness_; }
     [[nodiscard]] bool store_reachable() const { return store_reachable_; }
     [[nodiscard]] const follower_counters& counters() const { return counters_; }
 
--- a/src/daemon/dispatch_report.cpp
+++ b/src/daemon/dispatch_report.cpp
@@ -1,6 +1,7 @@
-// Status and metrics of dispatch, as client and as dispatcher.
+// Status, metrics and log lines of dispatch, as client and as dispatcher.
 #include "daemon/dispatch_report.h"
 
+#include "adapters/logging/json_log.h"
 #include "daemon/call_path.h"
 
 namespace anvilpost {
@@ -47,4 +48,28 @@
     add_metric(text, "dispatch_messages_stale_total", "counter", sent.stale_);
 }
 
+void slot_refusal_log::add(const slot_refusal& refused)
+{
+    const auto suppressed = limiter_.admit(clock_.now());
+    if (!suppressed) {
+        return;
+    }
+    const auto milliseconds = [](duration length) {
+        return std::chrono::duration<double, std::milli>(length).count();
+    };
+    write_log(log_level::info, "slot refused",
+              {{"service", refused.service_},
+               {"priority", refused.priority_},
+               {"work_ms", milliseconds(refused.work_)},
+               {"to_objective_ms", milliseconds(refused.to_objective_)},
+               {"to_deadline_ms", milliseconds(refused.to_deadline_)},
+               {"held", name_of(refused.held_)},
+               {"offered_finish_ms", milliseconds(refused.offered_finish_)},
+               {"typical_slowdown", refused.typical_slowdown_},
+               {"slots", refused.slots_},
+               {"granted", refused.granted_},
+               {"waiting", refused.waiting_},
+               {"suppressed", *suppressed}});
+}
+
 } // namespace anvilpost
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -5,7 +5,6 @@
 #include "adapters/http/http_fetch.h"
 #include "adapters/logging/json_log.h"
 #include "core/fleet/view_messages.h"
-#include "daemon/dispatch_report.h"
 #include "daemon/quota_report.h"
 #include "vocabulary/stable_hash.h"
 
@@ -93,10 +92,10 @@
       peers_({clock_, random_, datagrams_, follower_, call_path_.engine()}, describe_self(settings)),
       dispatch_({clock_, random_, datagrams_, peers_.peers(), call_path_.engine()},
                 settings.dispatch_from_nodes_, settings.dispatch_max_nodes_),
-      prober_(loop, clock_, settings.call_path_.names_,
-              [this](const probe_target& target, const probe_result& result) {
-                  on_probe_result(target, result);
-              }),
+      slot_refusals_(clock_), prober_(loop, clock_, settings.call_path_.names_,
+                                      [this](const probe_target& target, const probe_result& result) {
+                                          on_probe_result(target, result);
+                                      }),
       ready_server_(loop, settings.ready_.ip_, settings.ready_.port_,
                     ready_pages(settings.ready_path_, [this] { return ready(); })),
       control_server_(loop, settings.control_.ip_, settings.control_.port_, control_pages()),
@@ -138,6 +137,7 @@
             call_path_.schedule_wakeup();
         });
     };
+    dispatch_.on_refused([this](const slot_refusal& refused) { slot_refusals_.add(refused); });
     call_path_.next_wakeup_ = [this] { return dispatch_.next_wakeup(); };
     call_path_.on_wakeup_ = [this] { dispatch_.on_wakeup(); };
     engine.on_strike_ = [this](std::uint64_t fingerprint, const std::string& upstream) {
@@ -199,11 +199,29 @@
                {"peers_live", peers_.peers().live(clock_.now()).size()}});
 }
 
+/// An overdue view is expected while the store cannot be read; at any other time it is a fault.
+void registry_node::detect_overdue_view()
+{
+    const bool overdue = follower_.overdue();
+    if (overdue == view_overdue_) {
+        return;
+    }
+    view_overdue_ = overdue;
+    views_overdue_ += overdue ? 1 : 0;
+    write_log(overdue ? log_level::warning : log_level::info,
+              overdue ? "view of the store is overdue" : "view of the store is current again",
+              {{"age_ms", std::chrono::duration<double, std::milli>(follower_.age()).count()},
+               {"store_reachable", follower_.store_reachable()},
+               {"store_rank", peers_.duties().store_rank()},
+               {"in_flight", call_path_.callers().open_exchanges()}});
+}
+
 void registry_node::on_tick()
 {
     clock_.detect_suspension();
     detect_late_tick();
     detect_cut_off();
+    detect_overdue_view();
     peers_.on_tick();
     dispatch_.on_tick();
     follower_.on_tick();
@@ -471,6 +489,7 @@
     add_metric(text, "view_changes_from_peers_total", "counter", follower.changes_from_peers_);
     add_metric(text, "view_revision", "gauge", number_of(follower_.view().revision()));
     add_metric(text, "view_store_epoch", "gauge", epoch_of(follower_.view().revision()));
+    add_metric(text, "views_overdue_total", "counter", views_overdue_);
     add_metric(text, "registry_entries_refused_total", "counter", registry_.refused_entries());
     const auto& exchange = peers_.counters();
     add_metric(text, "peers_live", "gauge", peers_.peers().live(clock_.now()).size());
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -12,6 +12,7 @@
 #include "core/fleet/view_follower.h"
 #include "core/upstreams/upstream_registry.h"
 #include "daemon/call_path.h"
+#include "daemon/dispatch_report.h"
 #include "daemon/settings.h"
 
 #include <limits>
@@ -85,6 +86,7 @@
     void on_tick();
     void detect_late_tick();
     void detect_cut_off();
+    void detect_overdue_view();
     void on_datagram(const std::string& bytes);
     void on_probe_result(const probe_target& target, const probe_result& result);
     void choose_probe_targets();
@@ -116,6 +118,7 @@
     datagram_socket datagrams_;
     peer_exchange peers_;
     dispatch_exchange dispatch_;
+    slot_refusal_log slot_refusals_;
     health_prober prober_;
     time_point next_probe_choice_{};
     time_point last_tick_{};
@@ -124,6 +127,8 @@
     bool fetching_view_ = false;
     std::optional<std::uint64_t> store_epoch_; ///< Of the view at its last change.
     bool cut_off_ = false;                     ///< No upstream can be reached, as last logged.
+    bool view_overdue_ = false;                ///< As last logged.
+    std::uint64_t views_overdue_ = 0;          ///< Times that the view became older than its bound.
     page_server ready_server_;
     page_server control_server_;
     timer tick_;
