Waiting for a better slot: the slot to come is judged like the one that is offered

What callers saw (SHORT): while all upstreams were slow, long requests waited beside free slots until they could only be late. Cause: better_to_wait compared the finish at the offered upstream, at the speed that it has, with a wait plus the work at usual speed. With one queue for a service the expected wait is near zero, so waiting always looked better. Alone, a node's share of the slots is small and its expected wait long, which hid it. Class: an optimistic estimate compared with a realistic one; docs/design/dispatch.md has an earlier case (failure penalties). Change: the slot to come is at an upstream of typical speed. Result: "while all upstreams are slow, calls start at once instead of waiting for a faster slot" failed before (0 of 1 started).

--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -3,6 +3,8 @@
 // budgets.
 #include "core/calls/service_state.h"
 
+#include "core/calls/earliest_finish.h"
+
 #include <algorithm>
 
 namespace anvilpost {
@@ -348,7 +350,9 @@
     const waiting_call as_waiting{wanted.id_,       wanted.priority_,  wanted.objective_,
                                   wanted.deadline_, wanted.is_resend_, context.work_};
     const duration wait = expected_queue_wait(queue_.ahead_of(as_waiting, now));
-    return wait + context.work_ < finish && now + wait + context.work_ <= wanted.objective_;
+    // The slot to wait for is at a typical upstream, not at one of usual speed.
+    const duration run = expected_duration(context.work_, typical_slowdown_, typical_slowdown_);
+    return wait + run < finish && now + wait + run <= wanted.objective_;
 }
 
 bool service_state::unlikely_to_meet_deadline(const call& wanted, const upstream_tracker& offered,
--- a/tests/core/typical_slowdown_test.cpp
+++ b/tests/core/typical_slowdown_test.cpp
@@ -45,3 +45,10 @@
         CHECK(fixture.last().upstream_ == "u2");
     }
 }
+
+TEST_CASE("while all upstreams are slow, calls start at once instead of waiting for a faster slot")
+{
+    uneven_fixture fixture(6, 6, 4.0);
+    fixture.send_call(true, objective, 4s);
+    REQUIRE(fixture.upstreams_.started_.size() == 1);
+}
