Placing: the mean speed of an upstream is that of the work done, not the mean of its slowdowns

Cause: shared machines are at 1.1 times the usual time for two thirds of the time and at 7 times for the rest. The mean of these factors is 3.0; the work that a call gets done meanwhile is that of a factor of 1.4. Class: an arithmetic mean of times per unit of work, where the mean of speeds is needed. Ruled out: slowdown by contention (the median reported factor is 1.10 to 1.14 at 0, 1, 2 and 3 calls of 3 slots).

--- a/tests/core/typical_slowdown_test.cpp
+++ b/tests/core/typical_slowdown_test.cpp
@@ -52,3 +52,18 @@
     fixture.send_call(true, objective, 4s);
     REQUIRE(fixture.upstreams_.started_.size() == 1);
 }
+
+TEST_CASE("upstreams that are slow a third of the time count as slow as the work that they do in all")
+{
+    earliest_finish_fixture fixture(6, 3);
+    for (int round = 0; round < 90; ++round) {
+        fixture.advance(60ms);
+        for (int i = 1; i <= 6; ++i) {
+            fixture.report_load("u" + std::to_string(i), (round + i) % 9 < 3 ? 7.0 : 1.0, 0, 3);
+        }
+    }
+    // In 60 ms at factor 7 and 120 ms at factor 1, a call gets 129 ms of work done.
+    const auto typical = fixture.engine_.services().at("desk").typical_slowdown();
+    CHECK(typical > 1.3);
+    CHECK(typical < 1.5);
+}
