View of the store: a response that does not come is asked for again before the view is too old

Cause: a node of a late rank reads the store when its view is 0.6 of the bound old. A lost response was noticed after the time-out of 0.7 s only, and the next read came after a pause: with a bound of 2.0 s the view was up to 2.1 s old, with 2.5 s up to 2.4 s. Class: a bound in time that is kept by acting early enough, with no room for one failure. Change: a call that is not answered within a tenth of the bound gets a second one beside it. A late failure of the first does not count once the second was answered; while the store counts as unreachable there is one call at a time, as before. Result: "a lost response of the store does not let a view become older than its bound" failed before (2,100 ms where 2,000 are allowed), and passes for bounds of 2.0 and 2.5 s and ranks 0, 1 and 100.

--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -15,6 +15,11 @@
 constexpr double read_age_step_share = 0.02;
 constexpr double last_read_age_share = 0.6;
 
+/// Time without a response, as a share of the staleness bound, after which the store is asked once more
+/// beside the call that waits. A lost response would otherwise be noticed only after its time-out, and the
+/// view be older than the bound before the next one.
+constexpr double second_call_share = 0.1;
+
 /// Exponential backoff after failed queries, since a refused query counts as a store call too.
 constexpr duration initial_backoff = 100ms;
 constexpr duration max_backoff = 800ms;
@@ -49,7 +54,7 @@
 
 void view_follower::on_tick()
 {
-    if (call_pending_ || clock_.now() < next_call_) {
+    if (!may_call()) {
         return;
     }
     if (!complete_ || full_read_due_) {
@@ -64,10 +69,25 @@
     }
 }
 
-void view_follower::read_all()
+bool view_follower::may_call() const
+{
+    const auto now = clock_.now();
+    if (calls_pending_ == 1) {
+        return store_reachable_ && now >= response_due_;
+    }
+    return calls_pending_ == 0 && now >= next_call_;
+}
+
+void view_follower::begin_call(duration max_wait)
 {
-    call_pending_ = true;
+    ++calls_pending_;
     ++counters_.store_calls_;
+    response_due_ = clock_.now() + max_wait + scaled(settings_.max_staleness_, second_call_share);
+}
+
+void view_follower::read_all()
+{
+    begin_call({});
     ++counters_.full_reads_;
     store_.read_all(
         [this, started = clock_.now()](const items_result& result) { on_full_read(result, started); });
@@ -75,8 +95,7 @@
 
 void view_follower::read_changes(duration max_wait)
 {
-    call_pending_ = true;
-    ++counters_.store_calls_;
+    begin_call(max_wait);
     store_.changes_since(view_.revision(), max_wait,
                          [this, started = clock_.now(), max_wait](const items_result& result) {
                              on_changes(result, started, max_wait);
@@ -84,12 +103,13 @@
 }
 
 /// Records the start and end of outages, and sets the earliest time of the next query.
-void view_follower::on_store_response(store_status status)
+void view_follower::on_store_response(store_status status, time_point started)
 {
-    call_pending_ = false;
+    --calls_pending_;
     const auto now = clock_.now();
     if (status == store_status::ok) {
         consecutive_failures_ = 0;
+        last_answered_ = std::max(last_answered_, started);
         if (!store_reachable_) {
             long_outage_ = now - outage_began_ >= min_outage_for_lapses;
             outage_ended_ = now;
@@ -99,6 +119,9 @@
         return;
     }
     ++counters_.store_failures_;
+    if (calls_pending_ > 0 || started < last_answered_) {
+        return; // The other call decides.
+    }
     if (store_reachable_) {
         outage_began_ = now;
     }
@@ -115,7 +138,7 @@
 
 void view_follower::on_full_read(const items_result& result, time_point started)
 {
-    on_store_response(result.status_);
+    on_store_response(result.status_, started);
     if (result.status_ != store_status::ok) {
         return;
     }
@@ -136,7 +159,7 @@
 
 void view_follower::on_changes(const items_result& result, time_point started, duration wait)
 {
-    on_store_response(result.status_);
+    on_store_response(result.status_, started);
     if (result.status_ != store_status::ok) {
         return;
     }
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -102,7 +102,9 @@
     void read_changes(duration max_wait);
     void on_full_read(const items_result& result, time_point started);
     void on_changes(const items_result& result, time_point started, duration wait);
-    void on_store_response(store_status status);
+    void begin_call(duration max_wait);
+    [[nodiscard]] bool may_call() const;
+    void on_store_response(store_status status, time_point started);
     void publish(const std::vector<stored_item>& updates);
     [[nodiscard]] bool leases_may_have_lapsed() const;
     [[nodiscard]] duration age_before_read() const;
@@ -115,7 +117,9 @@
     store_view view_;
     bool complete_ = false; ///< A full view has arrived.
     bool full_read_due_ = false;
-    bool call_pending_ = false;
+    int calls_pending_ = 0;      ///< At most two.
+    time_point response_due_{};  ///< When the latest call should have been answered.
+    time_point last_answered_{}; ///< Start of the latest call that the store answered.
     std::size_t rank_ = 0;
     time_point verified_at_{};
     time_point next_call_{}; ///< Earliest time of the next store call.
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -3,6 +3,7 @@
 #include "core/fleet/view_follower.h"
 
 #include <catch2/catch.hpp>
+#include <list>
 #include <trompeloeil.hpp>
 
 using namespace anvilpost;
@@ -17,6 +18,57 @@
     MAKE_MOCK3(changes_since, void(std::uint64_t, duration, items_callback), override);
 };
 
+/// A store without changes that answers after 4 ms, and a watch when its wait is over. The response to a call
+/// may be lost; the caller learns that after its time-out.
+class late_store : public registry_store_port {
+public:
+    explicit late_store(const manual_clock& clock) : clock_(clock) {}
+
+    void read_all(items_callback done) override { add({}, std::move(done)); }
+    void changes_since(std::uint64_t, duration wait, items_callback done) override
+    {
+        add(wait, std::move(done));
+    }
+
+    void answer_due_calls()
+    {
+        for (auto call = calls_.begin(); call != calls_.end();) {
+            if (call->due_ > clock_.now()) {
+                ++call;
+                continue;
+            }
+            const auto answered = *call;
+            call = calls_.erase(call);
+            answered.done_({answered.lost_ ? store_status::unknown : store_status::ok, {}, 10, false});
+        }
+    }
+    void run_until_answered()
+    {
+        calls_.front().due_ = clock_.now();
+        answer_due_calls();
+    }
+
+    bool lose_next_ = false;
+    int lost_ = 0;
+
+private:
+    struct pending_call {
+        time_point due_{};
+        bool lost_ = false;
+        items_callback done_;
+    };
+
+    void add(duration wait, items_callback done)
+    {
+        const bool lost = std::exchange(lose_next_, false);
+        lost_ += lost ? 1 : 0;
+        calls_.push_back({clock_.now() + wait + (lost ? 700ms : 4ms), lost, std::move(done)});
+    }
+
+    const manual_clock& clock_;
+    std::list<pending_call> calls_;
+};
+
 stored_item upstream(const std::string& name, std::uint64_t revision, bool deleted = false)
 {
     return {item_kind::upstream, name, "", revision, deleted, false};
@@ -74,6 +126,34 @@
     REQUIRE(fixture.follower_.verified_at() == started + follower_settings{}.watch_timeout_);
 }
 
+TEST_CASE("a lost response of the store does not let a view become older than its bound")
+{
+    const auto bound = GENERATE(duration(2s), duration(2500ms));
+    const auto rank = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{100});
+    manual_clock clock;
+    split_mix random;
+    late_store store(clock);
+    follower_settings settings;
+    settings.max_staleness_ = bound;
+    view_follower follower(store, clock, random, settings);
+    follower.on_tick();
+    follower.set_rank(rank);
+    store.run_until_answered();
+    duration oldest{};
+    for (int lost = 0; lost < 5; ++lost) {
+        store.lose_next_ = true;
+        for (int i = 0; i < 100; ++i) { // 5 s
+            clock.advance(view_follower::tick_period);
+            store.answer_due_calls();
+            oldest = std::max(oldest, follower.age());
+            follower.on_tick();
+        }
+    }
+    CHECK(store.lost_ == 5);
+    CHECK(oldest <= bound);
+    CHECK(follower.store_reachable());
+}
+
 TEST_CASE("a node that does not follow the store reads it once its view is old, later the higher its rank")
 {
     follower_fixture fixture;
