View of the store: an empty response proves the wait only if the wait has passed

What callers could see (CONFIG, from reading and by a test): nodes hold an old configuration for current for up to 0.6 s. Cause: an empty response to a watch moved the moment of freshness by the whole wait that was asked for, also when it came back at once; other nodes take that moment over, and it may lie in the future. Class: what was asked for is taken for what was proved. Change: such a response proves that the view was current when the call began. Result: "a query that ended without changes before its wait had passed..." failed before.

--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -178,7 +178,9 @@
         return;
     }
     const auto updates = view_.apply(changes, result.revision_);
-    verified_at_ = std::max(verified_at_, started + (unchanged ? wait : duration{}));
+    // An empty response that came back before the wait had passed proves only that the call was read.
+    const bool waited = clock_.now() - started >= wait;
+    verified_at_ = std::max(verified_at_, started + (unchanged && waited ? wait : duration{}));
     if (!changes.empty()) {
         next_call_ = clock_.now() + settings_.batch_pause_;
     }
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -126,6 +126,18 @@
     REQUIRE(fixture.follower_.verified_at() == started + follower_settings{}.watch_timeout_);
 }
 
+TEST_CASE("a query that ended without changes before its wait had passed proves nothing beyond its start")
+{
+    follower_fixture fixture;
+    fixture.complete_view();
+    const auto started = fixture.clock_.now();
+    REQUIRE_CALL(fixture.store_, changes_since(10U, _, _)).LR_SIDE_EFFECT(fixture.response_callback_ = _3);
+    fixture.follower_.on_tick();
+    fixture.clock_.advance(5ms);
+    fixture.response_callback_({store_status::ok, {}, 10, false});
+    CHECK(fixture.follower_.verified_at() == started);
+}
+
 TEST_CASE("a lost response of the store does not let a view become older than its bound")
 {
     const auto bound = GENERATE(duration(2s), duration(2500ms));
