--- a/src/core/dispatch/dispatch_exchange.cpp
+++ b/src/core/dispatch/dispatch_exchange.cpp
@@ -37,10 +37,8 @@
 
 } // namespace
 
-dispatch_exchange::dispatch_exchange(const dispatch_exchange_ports& ports, std::size_t from_nodes,
-                                     std::size_t max_nodes_without_organisations)
-    : ports_(ports), from_nodes_(from_nodes),
-      max_nodes_without_organisations_(max_nodes_without_organisations), selection_(ports.peers_, from_nodes),
+dispatch_exchange::dispatch_exchange(const dispatch_exchange_ports& ports, std::size_t from_nodes)
+    : ports_(ports), from_nodes_(from_nodes), selection_(ports.peers_, from_nodes),
       dispatcher_(ports.clock_, ports.random_, outbox_),
       client_(ports.clock_, ports.random_, ports.engine_, outbox_)
 {
@@ -76,8 +74,6 @@
     if (from_nodes_ == 0) {
         return;
     }
-    selection_.set_max_nodes(effective.organisations_ ? std::numeric_limits<std::size_t>::max()
-                                                      : max_nodes_without_organisations_);
     const auto before = std::move(services_);
     services_.clear();
     for (const auto& [name, service] : effective.services_) {
--- a/src/core/dispatch/dispatch_exchange.h
+++ b/src/core/dispatch/dispatch_exchange.h
@@ -9,7 +9,6 @@
 #include "ports/datagram_port.h"
 
 #include <functional>
-#include <limits>
 #include <string>
 #include <vector>
 
@@ -35,11 +34,9 @@
 
 class dispatch_exchange : public dispatch_port {
 public:
-    /// Dispatch is on from `from_nodes` nodes; 0: never. Where the configuration holds no organisations, it
-    /// is off above `max_nodes_without_organisations`. Sets itself as the engine's dispatch port where it can
-    /// be on.
-    dispatch_exchange(const dispatch_exchange_ports& ports, std::size_t from_nodes,
-                      std::size_t max_nodes_without_organisations = std::numeric_limits<std::size_t>::max());
+    /// Dispatch is on from `from_nodes` nodes; 0: never. Sets itself as the engine's dispatch port where it
+    /// can be on.
+    dispatch_exchange(const dispatch_exchange_ports& ports, std::size_t from_nodes);
     dispatch_exchange(const dispatch_exchange&) = delete;
     dispatch_exchange& operator=(const dispatch_exchange&) = delete;
     ~dispatch_exchange() override;
@@ -96,7 +93,6 @@
 
     dispatch_exchange_ports ports_;
     std::size_t from_nodes_;
-    std::size_t max_nodes_without_organisations_;
     dispatch_outbox outbox_;
     dispatcher_selection selection_;
     dispatcher dispatcher_;
--- a/src/core/dispatch/dispatcher_selection.cpp
+++ b/src/core/dispatch/dispatcher_selection.cpp
@@ -35,15 +35,14 @@
 {
     const auto known = static_cast<double>(peers_.size() + 1);
     const auto limit = static_cast<double>(from_nodes_) * (on_ ? off_share : 1.0);
-    const bool too_large = peers_.size() >= max_nodes_;
-    const bool wanted = known >= limit && !too_large;
+    const bool wanted = known >= limit;
     if (wanted == on_) {
         contrary_since_ = {};
         return;
     }
     contrary_since_ = contrary_since_ == time_point{} ? now : contrary_since_;
     // A fleet that starts passes through all sizes; too few nodes may be known after a network partition.
-    if (now - contrary_since_ >= (on_ && !too_large ? off_delay : on_delay)) {
+    if (now - contrary_since_ >= (on_ ? off_delay : on_delay)) {
         on_ = wanted;
         contrary_since_ = {};
     }
--- a/src/core/dispatch/dispatcher_selection.h
+++ b/src/core/dispatch/dispatcher_selection.h
@@ -5,7 +5,6 @@
 
 #include "core/fleet/peer_table.h"
 
-#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,15 +13,15 @@
 
 class dispatcher_selection {
 public:
+    /// Fleets of fewer nodes share the calls in flight among all nodes early enough to choose alone.
+    static constexpr std::size_t usual_from_nodes = 40;
+
     /// Dispatch is on from `from_nodes` nodes, alive or not; 0: never.
     dispatcher_selection(const peer_table& peers, std::size_t from_nodes)
         : peers_(peers), from_nodes_(from_nodes)
     {
     }
 
-    /// Dispatch is off above `max_nodes`. Without a call of this function, there is no such limit.
-    void set_max_nodes(std::size_t max_nodes) { max_nodes_ = max_nodes; }
-
     /// Recomputes both for the services, which must be in the same order on all nodes.
     void update(const std::vector<std::string>& services, time_point now);
 
@@ -38,7 +37,6 @@
 
     const peer_table& peers_;
     std::size_t from_nodes_;
-    std::size_t max_nodes_ = std::numeric_limits<std::size_t>::max();
     bool on_ = false;
     time_point contrary_since_{}; ///< When the number of nodes began to speak for the other state.
     std::map<std::string, std::vector<std::string>> ranked_;
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -91,7 +91,7 @@
                  [this](const std::string& bytes) { on_datagram(bytes); }),
       peers_({clock_, random_, datagrams_, follower_, call_path_.engine()}, describe_self(settings)),
       dispatch_({clock_, random_, datagrams_, peers_.peers(), call_path_.engine()},
-                settings.dispatch_from_nodes_, settings.dispatch_max_nodes_),
+                settings.dispatch_from_nodes_),
       slot_refusals_(clock_), prober_(loop, clock_, settings.call_path_.names_,
                                       [this](const probe_target& target, const probe_result& result) {
                                           on_probe_result(target, result);
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -15,7 +15,6 @@
 #include "daemon/dispatch_report.h"
 #include "daemon/settings.h"
 
-#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,9 +37,7 @@
     follower_settings follower_;
     /// From this number of nodes on, one node per service grants the slots of its upstreams
     /// (core/dispatch); 0: never.
-    std::size_t dispatch_from_nodes_ = 0;
-    /// Above this number of nodes they choose alone again, unless the configuration holds organisations.
-    std::size_t dispatch_max_nodes_ = std::numeric_limits<std::size_t>::max();
+    std::size_t dispatch_from_nodes_ = dispatcher_selection::usual_from_nodes;
 };
 
 /// A claim port that does nothing. Requests to this kind of node carry no idempotency key; each attempt of a
