Configuration: no call is routed by a view that may be older than its bound, nor by one older than the sender's

Cause: nothing that routes a call asked how old the view is; the bound rested on reading early enough (a node that was frozen, had no processor time or whose reads failed went on by its old view). Class: a decision is taken on another's word, or on an old one of one's own, without a check of its age. Change: view_follower::usable is false while the view is overdue and the store, as far as known, can be read; calls that arrive then wait for the read, as those of a node that has just started (0.4 s at most, then 503 not run). While the store cannot be read, the last view counts, as before. Forwarded calls state the revision by which they were routed (Anvilpost-Forwarded-Revision); a node with an older configuration waits for it and else refuses the call as not run, and the sender turns to another node. Builds without the header are served as before. Looked for elsewhere: dispatchers grant upstreams of the service that the asking node routed to, whose own gate decides; keys are checked again before each attempt; the age that peers pass on is counted back from the receiver's own clock.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -17,8 +17,9 @@
 constexpr duration sweep_period = std::chrono::milliseconds(250);
 constexpr int listen_backlog = 512;
 
-/// A node that has just started receives its configuration from its peers or the store within this time.
-/// A call that waits for it is answered sooner than one that is refused and retried by its caller.
+/// A node that has just started, or whose configuration may be out of date, receives the current one from its
+/// peers or the store within this time. A call that waits for it is answered sooner than one that is refused
+/// and retried by its caller.
 constexpr duration configuration_wait_timeout = std::chrono::milliseconds(400);
 constexpr std::size_t max_calls_waiting_for_configuration = 200;
 constexpr std::chrono::milliseconds retry_after_without_configuration{200};
@@ -99,6 +100,7 @@
 
 void caller_server::apply(const configuration& config)
 {
+    revision_ = config.revision_;
     routes_.apply(config, random_);
     std::erase_if(first_tries_, [&](const auto& entry) { return !routes_.has(entry.first); });
     services_.clear();
@@ -212,11 +214,15 @@
         return;
     }
     auto& opened = open_exchange(from);
-    if (configured_) {
+    const auto& headers = opened.outgoing_.headers_;
+    const bool forwarded = find_header(headers, forwarded_attempts_header).has_value();
+    const waiting_for_configuration arrived{
+        clock_.now(), opened.call_, forwarded ? parse_revision(headers, forwarded_revision_header) : 0};
+    if (may_start(arrived)) {
         start(opened);
         return;
     }
-    waiting_for_configuration_.emplace_back(clock_.now(), opened.call_);
+    waiting_for_configuration_.push_back(arrived);
     if (waiting_for_configuration_.size() > max_calls_waiting_for_configuration) {
         refuse_waiting_calls();
     }
@@ -225,6 +231,11 @@
     }
 }
 
+bool caller_server::may_start(const waiting_for_configuration& arrived) const
+{
+    return configured_ && arrived.revision_ <= revision_ && (!is_current_ || is_current_());
+}
+
 void caller_server::start(exchange& opened)
 {
     const auto& outgoing = opened.outgoing_;
@@ -260,16 +271,28 @@
 void caller_server::set_configured(bool configured)
 {
     configured_ = configured;
-    if (!configured_) {
+    start_waiting_calls();
+}
+
+void caller_server::start_waiting_calls()
+{
+    if (waiting_for_configuration_.empty()) {
         return;
     }
-    const auto waiting = std::move(waiting_for_configuration_);
-    waiting_for_configuration_.clear();
-    for (const auto& [unused, call] : waiting) {
-        if (auto* current = find(call)) {
-            start(*current);
+    // Starting a call may answer it, and its caller may send the next request.
+    const auto waiting = std::exchange(waiting_for_configuration_, {});
+    std::vector<waiting_for_configuration> still_waiting;
+    for (const auto& arrived : waiting) {
+        auto* opened = find(arrived.call_);
+        if (opened != nullptr && may_start(arrived)) {
+            start(*opened);
+        }
+        else if (opened != nullptr) {
+            still_waiting.push_back(arrived);
         }
     }
+    waiting_for_configuration_.insert(waiting_for_configuration_.begin(), still_waiting.begin(),
+                                      still_waiting.end());
 }
 
 /// Refuses calls that have waited too long for a configuration, and the oldest ones when too many wait.
@@ -278,10 +301,10 @@
     const auto now = clock_.now();
     std::size_t refused = 0;
     while (refused < waiting_for_configuration_.size() &&
-           (now - waiting_for_configuration_[refused].first >= configuration_wait_timeout ||
+           (now - waiting_for_configuration_[refused].since_ >= configuration_wait_timeout ||
             waiting_for_configuration_.size() - refused > max_calls_waiting_for_configuration)) {
-        reject(waiting_for_configuration_[refused].second,
-               {problem_kind::not_configured, verdict::not_run, "this node has no configuration yet",
+        reject(waiting_for_configuration_[refused].call_,
+               {problem_kind::not_configured, verdict::not_run, "this node has no current configuration",
                 retry_after_without_configuration});
         ++refused;
     }
@@ -290,7 +313,7 @@
                                          static_cast<std::ptrdiff_t>(refused));
     if (!waiting_for_configuration_.empty()) {
         configuration_wait_timer_.start(configuration_wait_timeout -
-                                        (now - waiting_for_configuration_.front().first));
+                                        (now - waiting_for_configuration_.front().since_));
     }
 }
 
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -64,10 +64,17 @@
     /// Replaces the routes, the services and the limits on callers.
     void apply(const configuration& config);
 
-    /// While the node has no configuration, calls wait for it for a short time and are then
-    /// refused with `not_configured`. Setting it to true starts the waiting calls.
+    /// While the node has no current configuration, calls wait for it for a short time and are then refused
+    /// with `not_configured`. Setting it to true starts the waiting calls.
     void set_configured(bool configured);
 
+    /// Returns whether the configuration in force can be acted on; it may be out of date. Without this
+    /// function, it can.
+    std::function<bool()> is_current_;
+
+    /// Starts the calls that wait for a current configuration, as far as they may start now.
+    void start_waiting_calls();
+
     /// From now on each response carries `Connection: close`.
     void start_draining();
 
@@ -101,6 +108,13 @@
     [[nodiscard]] const caller_counters& counters() const { return counters_; }
 
 private:
+    /// A call that must not be routed by the configuration in force.
+    struct waiting_for_configuration {
+        time_point since_{};
+        call_id call_{};
+        std::uint64_t revision_ = 0; ///< Least that it needs: that of the node that forwarded it.
+    };
+
     struct exchange {
         call_id call_{};
         caller_connection& connection_;
@@ -118,6 +132,7 @@
     void on_closed(caller_connection& from) override;
 
     void start(exchange& opened);
+    [[nodiscard]] bool may_start(const waiting_for_configuration& arrived) const;
     void refuse_waiting_calls();
     void accept(int socket);
     void sweep();
@@ -151,7 +166,8 @@
     std::size_t held_bytes_ = 0;
     std::uint64_t next_call_ = 1;
     bool configured_ = true;
-    std::vector<std::pair<time_point, call_id>> waiting_for_configuration_; ///< With arrival; oldest first.
+    std::uint64_t revision_ = 0;                                       ///< Of the configuration in force.
+    std::vector<waiting_for_configuration> waiting_for_configuration_; ///< Oldest first.
     timer configuration_wait_timer_; ///< Runs until the oldest of them has waited too long.
     bool draining_ = false;
     time_point last_request_{};
--- a/src/adapters/http/header_rules.cpp
+++ b/src/adapters/http/header_rules.cpp
@@ -164,6 +164,12 @@
     return std::max(1, value ? parse_digits<std::int32_t>(*value).value_or(1) : 1);
 }
 
+std::uint64_t parse_revision(const header_list& headers, const std::string& name)
+{
+    const auto value = find_header(headers, name);
+    return value ? parse_digits<std::uint64_t>(*value).value_or(0) : 0;
+}
+
 std::optional<double> parse_rate_limit(const header_list& headers, const std::string& name)
 {
     const auto value = name.empty() ? std::nullopt : find_header(headers, name);
--- a/src/adapters/http/header_rules.h
+++ b/src/adapters/http/header_rules.h
@@ -20,6 +20,8 @@
 inline constexpr const char* timeout_header = "Anvilpost-Timeout-Ms";
 /// Request from one node to another: it was forwarded, and this many upstreams may still be tried.
 inline constexpr const char* forwarded_attempts_header = "Anvilpost-Forwarded-Attempts";
+/// Request from one node to another: revision of the configuration by which the sender routed it.
+inline constexpr const char* forwarded_revision_header = "Anvilpost-Forwarded-Revision";
 /// Request from one node to another: digest of the key that the caller showed, in place of the key.
 inline constexpr const char* key_digest_header = "Anvilpost-Key-Digest";
 inline constexpr const char* leaving_header = "Anvilpost-Leaving";
@@ -58,6 +60,9 @@
 /// malformed.
 std::optional<std::chrono::seconds> parse_keep_alive(const header_list& headers);
 
+/// Returns the revision from the header `name`; 0 when it is no whole number.
+std::uint64_t parse_revision(const header_list& headers, const std::string& name);
+
 /// Returns the number of attempts from the header `name`; 1 when it is no positive whole number.
 int parse_attempts(const header_list& headers, const std::string& name);
 
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -190,7 +190,7 @@
             is_hop_by_hop(name, connection_value) || same_header(name, "Content-Length") ||
             same_header(name, names_.time_left_) || same_header(name, names_.request_id_) ||
             same_header(name, names_.expected_instance_) || same_header(name, forwarded_attempts_header) ||
-            same_header(name, key_digest_header);
+            same_header(name, forwarded_revision_header) || same_header(name, key_digest_header);
         if (!not_copied) {
             add(name, value);
         }
@@ -202,6 +202,7 @@
     }
     if (order.to_peer_) {
         add(forwarded_attempts_header, std::to_string(order.attempts_left_));
+        add(forwarded_revision_header, std::to_string(order.configuration_revision_));
         if (!request.key_digest_.empty()) {
             add(key_digest_header, request.key_digest_);
         }
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -56,6 +56,7 @@
         service.set_evacuated(config.evacuated_, now());
     }
     configured_ = true;
+    configuration_revision_ = config.revision_;
     ++warm_up_notices_;
     std::size_t upstream_count = 0;
     for (const auto& [unused, service] : config.services_) {
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -353,7 +353,8 @@
     upstream_reachability reachability_;
     std::uint64_t rate_limit_notices_ = 0;
     std::uint64_t warm_up_notices_ = 0;
-    bool configured_ = false; ///< A configuration is in force.
+    bool configured_ = false;                  ///< A configuration is in force.
+    std::uint64_t configuration_revision_ = 0; ///< Its revision.
     std::uint64_t next_attempt_ = 1;
     fleet_position position_;
     std::optional<time_point> waiting_deadline_; ///< Set by `set_waiting_deadline`.
--- a/src/core/calls/call_engine_forwarding.cpp
+++ b/src/core/calls/call_engine_forwarding.cpp
@@ -53,6 +53,7 @@
     order.time_left_ = state.call_.deadline_ - now();
     order.to_peer_ = true;
     order.attempts_left_ = attempts_left;
+    order.configuration_revision_ = configuration_revision_;
     ports_.upstreams_.start(order);
     return true;
 }
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -94,6 +94,10 @@
 
     /// True while a change of the store may have been missing here for longer than the bound.
     [[nodiscard]] bool overdue() const { return complete_ && age() > settings_.max_staleness_; }
+
+    /// False while the view is overdue and the store, as far as this node knows, can be read: it must be read
+    /// before anything is decided by the view. While the store cannot be read, the last view counts.
+    [[nodiscard]] bool usable() const { return !overdue() || !store_reachable_; }
     [[nodiscard]] bool store_reachable() const { return store_reachable_; }
     [[nodiscard]] const follower_counters& counters() const { return counters_; }
 
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -103,6 +103,7 @@
       interrupt_(loop, SIGINT, [this] { on_terminate(); })
 {
     call_path_.callers().set_configured(false);
+    call_path_.callers().is_current_ = [this] { return follower_.usable(); };
     registry_.on_event_ = log_registry_event;
     peers_.set_seeds(settings.seeds_);
     peers_.fetch_view_ = [this](const peer& from, std::uint64_t after) { fetch_view(from, after); };
@@ -225,6 +226,7 @@
     peers_.on_tick();
     dispatch_.on_tick();
     follower_.on_tick();
+    call_path_.callers().start_waiting_calls();
     if (registry_.drop_lapsed()) {
         apply_effective_configuration();
     }
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -59,6 +59,7 @@
     duration time_left_{};     ///< Time until the deadline; forwarded to the upstream.
     bool to_peer_ = false;     ///< The target is another node of the fleet; `upstream_` is empty.
     int attempts_left_ = 0;    ///< Attempts that a peer may make.
+    std::uint64_t configuration_revision_ = 0; ///< By which this node routed the call; for a peer.
 };
 
 /// Load that an upstream reported in a response, as of the time of that response.
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -32,6 +32,20 @@
 
     void run_for(duration length) { run_loop(loop_, length); }
 
+    /// Puts a configuration in force whose route for all paths of desk.example leads to `service`.
+    void put_in_force(std::uint64_t revision, const std::string& service)
+    {
+        configuration config;
+        config.revision_ = revision;
+        auto& target = config.services_[service];
+        target.policy_.slots_ = 1'000;
+        target.upstreams_["u1"] = {"127.0.0.1", 9001, "", "", upstream_state::active};
+        config.routes_ = {{"all", "desk.example", "/", {{service}}}};
+        server_.apply(config);
+        engine_.apply(config);
+        server_.set_configured(true);
+    }
+
     template <class Condition>
     bool run_until(Condition condition)
     {
@@ -90,6 +104,62 @@
     CHECK(first.received().find("not_run") != std::string::npos);
 }
 
+TEST_CASE("a request that arrives while the configuration may be out of date is routed by the next one")
+{
+    server_fixture fixture;
+    fixture.put_in_force(1, "desk");
+    bool current = false;
+    fixture.server_.is_current_ = [&] { return current; };
+    test_caller caller(fixture.server_.port());
+    caller.send("GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n");
+    fixture.run_for(50ms);
+    CHECK(fixture.observer_.calls_.empty());
+    fixture.put_in_force(2, "stock");
+    current = true;
+    fixture.server_.start_waiting_calls();
+    REQUIRE(fixture.run_until([&] { return !fixture.observer_.calls_.empty(); }));
+    CHECK(fixture.observer_.calls_[0].service_ == "stock");
+}
+
+TEST_CASE("requests are refused as not run when the configuration stays out of date")
+{
+    server_fixture fixture;
+    fixture.put_in_force(1, "desk");
+    fixture.server_.is_current_ = [] { return false; };
+    test_caller caller(fixture.server_.port());
+    caller.send("GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n");
+    REQUIRE(fixture.run_until([&] { return !caller.received().empty(); }));
+    CHECK(caller.received().starts_with("HTTP/1.1 503"));
+    CHECK(caller.received().find("not_run") != std::string::npos);
+    CHECK(caller.received().find("Retry-After: ") != std::string::npos);
+    CHECK(fixture.observer_.calls_.empty());
+}
+
+TEST_CASE("a request that a node with a later configuration forwarded is not routed by an older one")
+{
+    server_fixture fixture;
+    fixture.put_in_force(7, "desk");
+    test_caller caller(fixture.server_.port());
+    caller.send("GET / HTTP/1.1\r\nHost: desk.example\r\nAnvilpost-Forwarded-Attempts: 1\r\n"
+                "Anvilpost-Forwarded-Revision: 9\r\n\r\n");
+    fixture.run_for(50ms);
+    CHECK(fixture.observer_.calls_.empty());
+    fixture.put_in_force(8, "desk");
+    fixture.run_for(50ms);
+    CHECK(fixture.observer_.calls_.empty());
+    fixture.put_in_force(9, "stock");
+    REQUIRE(fixture.run_until([&] { return !fixture.observer_.calls_.empty(); }));
+    CHECK(fixture.observer_.calls_[0].service_ == "stock");
+    // An older sender, and one of a build that states no revision, do not wait.
+    for (const std::string stated : {"Anvilpost-Forwarded-Revision: 8\r\n", ""}) {
+        test_caller other(fixture.server_.port());
+        other.send("GET / HTTP/1.1\r\nHost: desk.example\r\nAnvilpost-Forwarded-Attempts: 1\r\n" + stated +
+                   "\r\n");
+        const auto before = fixture.observer_.calls_.size();
+        CHECK(fixture.run_until([&] { return fixture.observer_.calls_.size() > before; }));
+    }
+}
+
 TEST_CASE("a request that would exceed the memory for arriving requests is refused as not run")
 {
     caller_limits limits;
--- a/tests/core/called_fleet.h
+++ b/tests/core/called_fleet.h
@@ -107,6 +107,7 @@
         served_.clear();
     }
 
+    std::set<std::uint64_t> forwarded_revisions_; ///< Stated with forwarded calls.
     network net_;
 
 private:
@@ -212,6 +213,7 @@
                                                      : upstreams.at(order.upstream_).data_centre_;
                 const bool cut = !node->cut_from_.empty() && target == node->cut_from_;
                 if (order.to_peer_ && !cut) {
+                    forwarded_revisions_.insert(order.configuration_revision_);
                     forward_call(*node, order);
                     continue;
                 }
--- a/tests/core/cut_off_test.cpp
+++ b/tests/core/cut_off_test.cpp
@@ -60,6 +60,7 @@
         INFO(node);
         CHECK(fleet.served_share(node) > 0.95); // The users' rule: two thirds of what others serve.
     }
+    CHECK(fleet.forwarded_revisions_ == std::set<std::uint64_t>{fleet.net_.config_.revision_});
     fleet.cut_off({});
     fleet.play(3s, 120);
     for (const auto& node : fleet.net_.nodes_) {
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -166,6 +166,24 @@
     CHECK(follower.store_reachable());
 }
 
+TEST_CASE("a view older than its bound is not usable until the store was read or could not be")
+{
+    const auto status = GENERATE(store_status::ok, store_status::unavailable, store_status::unknown);
+    follower_fixture fixture;
+    fixture.complete_view();
+    fixture.follower_.set_rank(1);
+    fixture.clock_.advance(follower_settings{}.max_staleness_);
+    CHECK(fixture.follower_.usable());
+    fixture.clock_.advance(1s); // The node was frozen, or had no processor time.
+    CHECK_FALSE(fixture.follower_.usable());
+    REQUIRE_CALL(fixture.store_, changes_since(10U, _, _)).LR_SIDE_EFFECT(fixture.response_callback_ = _3);
+    fixture.follower_.on_tick();
+    CHECK_FALSE(fixture.follower_.usable());
+    fixture.response_callback_({status, {}, 10, false});
+    CHECK(fixture.follower_.usable());
+    CHECK(fixture.follower_.overdue() == (status != store_status::ok));
+}
+
 TEST_CASE("a node that does not follow the store reads it once its view is old, later the higher its rank")
 {
     follower_fixture fixture;
