View of the store: a time-out during this node's own delay is no outage of the store

Cause: calls wait for a view that is too old unless the store cannot be read; a time-out counted as that also when the node itself had stood still while the response lay in its socket. Class: a clock that runs while its owner does not is taken for evidence about others. Refusals by the store count at once, as before.

--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -24,6 +24,11 @@
 constexpr duration initial_backoff = 100ms;
 constexpr duration max_backoff = 800ms;
 
+/// A later tick than this means that this node was frozen or had no processor time. A time-out that ran
+/// meanwhile says nothing of the store, except after several in a row.
+constexpr duration max_tick_gap = 150ms;
+constexpr int max_own_delays = 3;
+
 /// An outage of at least this length may have let leases expire.
 constexpr duration min_outage_for_lapses = 1s;
 
@@ -54,6 +59,11 @@
 
 void view_follower::on_tick()
 {
+    const auto now = clock_.now();
+    if (last_tick_ != time_point{} && now - last_tick_ > max_tick_gap) {
+        last_late_tick_ = now;
+    }
+    last_tick_ = now;
     if (!may_call()) {
         return;
     }
@@ -109,6 +119,7 @@
     const auto now = clock_.now();
     if (status == store_status::ok) {
         consecutive_failures_ = 0;
+        consecutive_own_delays_ = 0;
         last_answered_ = std::max(last_answered_, started);
         if (!store_reachable_) {
             long_outage_ = now - outage_began_ >= min_outage_for_lapses;
@@ -122,6 +133,11 @@
     if (calls_pending_ > 0 || started < last_answered_) {
         return; // The other call decides.
     }
+    if (own_delay(status, started) && consecutive_own_delays_ < max_own_delays) {
+        ++consecutive_own_delays_;
+        next_call_ = now;
+        return;
+    }
     if (store_reachable_) {
         outage_began_ = now;
     }
@@ -131,6 +147,12 @@
     next_call_ = now + scaled(backoff, 0.5 + random_unit(random_));
 }
 
+bool view_follower::own_delay(store_status status, time_point started) const
+{
+    const bool late_now = clock_.now() - last_tick_ > max_tick_gap;
+    return status == store_status::unknown && store_reachable_ && (late_now || last_late_tick_ > started);
+}
+
 bool view_follower::leases_may_have_lapsed() const
 {
     return long_outage_ && clock_.now() - outage_ended_ <= settings_.lapse_grace_;
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -107,6 +107,9 @@
     void on_full_read(const items_result& result, time_point started);
     void on_changes(const items_result& result, time_point started, duration wait);
     void begin_call(duration max_wait);
+    /// True when this node had no processor time while it waited for the response that it now counts as
+    /// missing.
+    [[nodiscard]] bool own_delay(store_status status, time_point started) const;
     [[nodiscard]] bool may_call() const;
     void on_store_response(store_status status, time_point started);
     void publish(const std::vector<stored_item>& updates);
@@ -129,6 +132,9 @@
     time_point next_call_{}; ///< Earliest time of the next store call.
     bool store_reachable_ = true;
     int consecutive_failures_ = 0;
+    int consecutive_own_delays_ = 0; ///< Time-outs that say nothing of the store, one after the other.
+    time_point last_tick_{};
+    time_point last_late_tick_{};
     time_point outage_began_{};
     time_point outage_ended_{};
     bool long_outage_ = false; ///< The last outage may have let leases expire.
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -184,6 +184,28 @@
     CHECK(fixture.follower_.overdue() == (status != store_status::ok));
 }
 
+TEST_CASE("a time-out while the node had no processor time is no outage of the store, unless it happens "
+          "again and again")
+{
+    follower_fixture fixture;
+    fixture.complete_view();
+    fixture.follower_.set_rank(1);
+    fixture.clock_.advance(follower_settings{}.max_staleness_ + 1s);
+    ALLOW_CALL(fixture.store_, changes_since(10U, _, _)).LR_SIDE_EFFECT(fixture.response_callback_ = _3);
+    for (int i = 0; i < 3; ++i) {
+        fixture.follower_.on_tick();
+        fixture.clock_.advance(800ms); // No tick meanwhile.
+        fixture.response_callback_({store_status::unknown, {}, 0, false});
+        CHECK(fixture.follower_.store_reachable());
+        CHECK_FALSE(fixture.follower_.usable());
+    }
+    fixture.follower_.on_tick();
+    fixture.clock_.advance(800ms);
+    fixture.response_callback_({store_status::unknown, {}, 0, false});
+    CHECK_FALSE(fixture.follower_.store_reachable());
+    CHECK(fixture.follower_.usable());
+}
+
 TEST_CASE("a node that does not follow the store reads it once its view is old, later the higher its rank")
 {
     follower_fixture fixture;
