View of the store: a store that hangs counts as unreachable after the first time-out

Cause: with a second call beside each unanswered one, a failure counted only when no other call was pending; in a hanging store there always was one, so the store never counted as unreachable, and calls waited for a read that could not come. Change: a failure counts unless a later call was answered.

--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -130,8 +130,8 @@
         return;
     }
     ++counters_.store_failures_;
-    if (calls_pending_ > 0 || started < last_answered_) {
-        return; // The other call decides.
+    if (started < last_answered_) {
+        return; // A later call was answered.
     }
     if (own_delay(status, started) && consecutive_own_delays_ < max_own_delays) {
         ++consecutive_own_delays_;
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -49,6 +49,7 @@
     }
 
     bool lose_next_ = false;
+    bool lose_all_ = false;
     int lost_ = 0;
 
 private:
@@ -60,7 +61,7 @@
 
     void add(duration wait, items_callback done)
     {
-        const bool lost = std::exchange(lose_next_, false);
+        const bool lost = std::exchange(lose_next_, false) || lose_all_;
         lost_ += lost ? 1 : 0;
         calls_.push_back({clock_.now() + wait + (lost ? 700ms : 4ms), lost, std::move(done)});
     }
@@ -126,6 +127,39 @@
     REQUIRE(fixture.follower_.verified_at() == started + follower_settings{}.watch_timeout_);
 }
 
+TEST_CASE("calls never wait for a store that hangs, and the view counts again as soon as it answers")
+{
+    const auto bound = GENERATE(duration(2s), duration(2500ms));
+    const auto rank = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{100});
+    manual_clock clock;
+    split_mix random;
+    late_store store(clock);
+    follower_settings settings;
+    settings.max_staleness_ = bound;
+    view_follower follower(store, clock, random, settings);
+    follower.on_tick();
+    follower.set_rank(rank);
+    store.run_until_answered();
+    const auto play = [&](duration length) {
+        for (duration played{}; played < length; played += view_follower::tick_period) {
+            clock.advance(view_follower::tick_period);
+            store.answer_due_calls();
+            follower.on_tick();
+            CHECK(follower.usable());
+        }
+    };
+    play(5s);
+    store.lose_all_ = true;
+    const auto before = follower.counters().store_calls_;
+    play(20s);
+    CHECK_FALSE(follower.store_reachable());
+    CHECK(follower.counters().store_calls_ - before < 25);
+    store.lose_all_ = false;
+    play(3s);
+    CHECK(follower.store_reachable());
+    CHECK_FALSE(follower.overdue());
+}
+
 TEST_CASE("a query that ended without changes before its wait had passed proves nothing beyond its start")
 {
     follower_fixture fixture;
