Placing: only a node that makes all calls goes by the work done; the slot to wait for is at a faster upstream

A node that chooses alone learns of the others' calls late; the higher mean had been its margin, and holding a call until a fast upstream has a free slot keeps it out of collisions. Change: the slowdown that is expected after the present one is that of the work done at a node that makes or grants all calls, and the mean of slowdowns elsewhere. The slot to wait for is judged at the present slowdown that a quarter of the upstreams stay below.

--- a/src/core/calls/earliest_finish.cpp
+++ b/src/core/calls/earliest_finish.cpp
@@ -51,12 +51,12 @@
 }
 
 /// True when this node has an idle connection to the candidate which the call may use, or when the candidate
-/// has had no call yet and such ones are preferred.
+/// has had no call yet and this node makes all calls.
 bool is_preferred(const upstream_tracker& candidate, const pick_context& context)
 {
     const bool unused =
         candidate.own_calls_served() == 0 && candidate.own_calls_failed() == 0 && candidate.in_flight() == 0;
-    if (context.prefers_unused_ && unused) {
+    if (context.makes_all_calls_ && unused) {
         return true;
     }
     const auto need = context.repeatable_ ? connection_need::any : connection_need::recently_used;
@@ -86,6 +86,15 @@
     return chosen;
 }
 
+/// Slowdown that is expected after the present one. A node that does not make all calls learns of the others'
+/// late, and takes the higher of the two means as a margin.
+double later_slowdown(const upstream_tracker& upstream, const pick_context& context)
+{
+    const double typical = context.typical_slowdown_;
+    return std::max(1.0, context.makes_all_calls_ ? upstream.slowdown_of_work(typical)
+                                                  : upstream.mean_slowdown(typical));
+}
+
 double failure_cost_factor(const pick_context& context)
 {
     return context.repeatable_ ? repeatable_failure_cost_factor : unrepeatable_failure_cost_factor;
@@ -113,8 +122,7 @@
     if (occupancy + 1 > contention_estimator::max_uncontended_calls(upstream.slots(context.slots_))) {
         slowdown *= context.contention_factor_;
     }
-    const duration run = expected_duration(context.work_, slowdown,
-                                           std::max(1.0, upstream.mean_slowdown(context.typical_slowdown_)));
+    const duration run = expected_duration(context.work_, slowdown, later_slowdown(upstream, context));
     const double queued_rounds = std::max(0.0, occupancy + 1 - slots) / slots;
     duration total =
         run + scaled(run, queued_rounds) + scaled(context.work_, load_penalty_share * occupancy / slots);
--- a/src/core/calls/picker.h
+++ b/src/core/calls/picker.h
@@ -33,9 +33,10 @@
     duration time_left_{}; ///< Until the call's latency objective; 0 or less: it is late.
     /// Tells to which upstreams there are idle connections; without it, none counts as preferable.
     const idle_connections* connections_ = nullptr;
-    /// Whether upstreams that have had no call yet are preferred like those with an idle connection. Where
-    /// connections are preferred and slots are free, new upstreams would get no calls otherwise.
-    bool prefers_unused_ = false;
+    /// Whether this node makes, or grants, all calls of the service, so that it knows the load. Upstreams
+    /// that have had no call yet are then preferred like those with an idle connection; they would get none
+    /// otherwise.
+    bool makes_all_calls_ = false;
 };
 
 using candidate_list = std::span<const upstream_tracker* const>;
--- a/src/core/calls/service_state.cpp
+++ b/src/core/calls/service_state.cpp
@@ -276,7 +276,7 @@
             unavoidable_failure_rate(now),
             wanted.objective_ - now,
             connections_,
-            prefers_unused_};
+            makes_all_calls_};
 }
 
 double service_state::unavoidable_failure_rate(time_point now) const
@@ -350,8 +350,8 @@
     const waiting_call as_waiting{wanted.id_,       wanted.priority_,  wanted.objective_,
                                   wanted.deadline_, wanted.is_resend_, context.work_};
     const duration wait = expected_queue_wait(queue_.ahead_of(as_waiting, now));
-    // The slot to wait for is at a typical upstream, not at one of usual speed.
-    const duration run = expected_duration(context.work_, typical_slowdown_, typical_slowdown_);
+    // The slot to wait for is at one of the faster upstreams, which are not at usual speed either.
+    const duration run = expected_duration(context.work_, fast_slowdown_, typical_slowdown_);
     return wait + run < finish && now + wait + run <= wanted.objective_;
 }
 
@@ -452,10 +452,14 @@
 {
     typical_slowdown_read_at_ = now;
     std::vector<double> means;
+    std::vector<double> present;
     means.reserve(upstreams_.size());
+    present.reserve(upstreams_.size());
     for (const auto& [unused, tracker] : upstreams_) {
         if (tracker->receives_calls() && tracker->report_time()) {
-            means.push_back(tracker->mean_slowdown(typical_slowdown_));
+            means.push_back(makes_all_calls_ ? tracker->slowdown_of_work(typical_slowdown_)
+                                             : tracker->mean_slowdown(typical_slowdown_));
+            present.push_back(tracker->slowdown(now, typical_slowdown_));
         }
     }
     if (means.empty()) {
@@ -464,6 +468,9 @@
     const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
     std::nth_element(means.begin(), middle, means.end());
     typical_slowdown_ = std::clamp(*middle, 1.0, max_typical_slowdown_factor);
+    const auto quartile = present.begin() + static_cast<std::ptrdiff_t>(present.size() / 4);
+    std::nth_element(present.begin(), quartile, present.end());
+    fast_slowdown_ = std::max(1.0, *quartile);
 }
 
 void service_state::learn_work(const call& served, const upstream_tracker& upstream, int running,
--- a/src/core/calls/service_state.h
+++ b/src/core/calls/service_state.h
@@ -135,8 +135,8 @@
     /// Sets what tells to which upstreams there are idle connections; nullptr: none is preferred for that.
     void set_connections(const idle_connections* connections) { connections_ = connections; }
 
-    /// Sets whether upstreams without a call so far are preferred, for a node that makes all calls.
-    void set_prefers_unused(bool prefers) { prefers_unused_ = prefers; }
+    /// See `pick_context::makes_all_calls_`.
+    void set_makes_all_calls(bool makes) { makes_all_calls_ = makes; }
 
     /// Returns the inputs by which pickers compare upstreams for a call.
     [[nodiscard]] pick_context context_for(const call& wanted, time_point now) const;
@@ -260,9 +260,10 @@
     time_point created_at_{};
     bool knows_fleet_size_ = false; ///< Stays true; a node that ran before this service was added knows it.
     const idle_connections* connections_ = nullptr; ///< Upstreams that it names are preferred.
-    bool prefers_unused_ = false;                   ///< See `pick_context::prefers_unused_`.
+    bool makes_all_calls_ = false;                  ///< See `pick_context::makes_all_calls_`.
     retry_budget hedge_budget_;
     double typical_slowdown_ = 1.0;
+    double fast_slowdown_ = 1.0; ///< Present slowdown that a quarter of the same upstreams stay below.
     time_point typical_slowdown_read_at_{};
     mutable double unavoidable_failure_rate_ = 0.0; ///< As of `failure_rates_read_at_`.
     mutable time_point failure_rates_read_at_{};
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -209,7 +209,7 @@
     state.set_fleet_position({1, request.data_centre_, 0});
     auto& connections = connections_.try_emplace(request.key_.first, clock_).first->second;
     state.set_connections(&connections);
-    state.set_prefers_unused(true);
+    state.set_makes_all_calls(true);
     auto* upstream = state.choose(request.call_, left_out, random_, now);
     const auto expected =
         upstream == nullptr ? duration{} : expected_finish(*upstream, state.context_for(request.call_, now));
--- a/src/core/upstreams/upstream_tracker.cpp
+++ b/src/core/upstreams/upstream_tracker.cpp
@@ -75,6 +75,7 @@
     slowdown_ = 1.0;
     reported_time_ = 0;
     reported_work_ = 0;
+    slowdown_integral_ = 0;
     work_done_ = {};
     peers_.clear();
     recent_served_ = 0;
@@ -148,11 +149,13 @@
     const double remaining_share = decay(since_last, mean_slowdown_time_constant);
     reported_time_ *= remaining_share;
     reported_work_ *= remaining_share;
+    slowdown_integral_ *= remaining_share;
     if (has_load_report_) {
         // A report tells nothing of the time long after it.
         const std::chrono::duration<double> covered = std::min(since_last, slowdown_time_constant);
         reported_time_ += covered.count();
         reported_work_ += covered.count() / slowdown_;
+        slowdown_integral_ += covered.count() * slowdown_;
     }
     has_load_report_ = true;
     report_time_ = measured_at;
@@ -263,6 +266,12 @@
 }
 
 double upstream_tracker::mean_slowdown(double typical) const
+{
+    return (slowdown_integral_ + typical_slowdown_weight_s * typical) /
+           (reported_time_ + typical_slowdown_weight_s);
+}
+
+double upstream_tracker::slowdown_of_work(double typical) const
 {
     return (reported_time_ + typical_slowdown_weight_s) /
            (reported_work_ + typical_slowdown_weight_s / typical);
--- a/src/core/upstreams/upstream_tracker.h
+++ b/src/core/upstreams/upstream_tracker.h
@@ -103,9 +103,11 @@
     /// report ages.
     [[nodiscard]] double slowdown(time_point now, double typical) const;
 
-    /// The slowdown at which the upstream did the work of the last seconds as a whole, as it reported;
-    /// `typical` where it has reported for a short time only.
+    /// Mean of the slowdown that the upstream reported over the last seconds, and the slowdown at which it
+    /// did the work of that time as a whole, which is lower where its speed varies. `typical` counts where it
+    /// has reported for a short time only.
     [[nodiscard]] double mean_slowdown(double typical) const;
+    [[nodiscard]] double slowdown_of_work(double typical) const;
 
     /// Cumulative work, as time at the usual speed, that a call running at the upstream all along would have
     /// received since an arbitrary origin. The difference between two readings is the progress of a call that
@@ -180,9 +182,10 @@
     bool has_load_report_ = false;
     int reported_slots_ = 0;
     double slowdown_ = 1.0;
-    double reported_time_ = 0; ///< Decayed time, in seconds, for which reports tell the speed.
-    double reported_work_ = 0; ///< Work that a call received in that time, decayed alike.
-    duration work_done_{};     ///< `cumulative_work` at `report_time_`.
+    double reported_time_ = 0;     ///< Decayed time, in seconds, for which reports tell the speed.
+    double reported_work_ = 0;     ///< Work that a call received in that time, decayed alike.
+    double slowdown_integral_ = 0; ///< The slowdown over that time, decayed alike.
+    duration work_done_{};         ///< `cumulative_work` at `report_time_`.
     std::vector<peer_load> peers_;
     double recent_served_ = 0; ///< Decayed count as of `outcomes_updated_at_`, as is `recent_failed_`.
     double recent_failed_ = 0;
