--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <stdexcept>
+#include <utility>
 
 namespace anvilpost {
 namespace {
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -75,6 +75,34 @@
     return {item_kind::upstream, name, "", revision, deleted, false};
 }
 
+/// A follower of the given bound and rank that has a full view of a `late_store`.
+struct late_store_fixture {
+    late_store_fixture(duration bound, std::size_t rank) : settings_{bound}
+    {
+        follower_.on_tick();
+        follower_.set_rank(rank);
+        store_.run_until_answered();
+    }
+
+    /// Lets time pass; `check` is called before each tick.
+    template <class Check>
+    void play(duration length, Check check)
+    {
+        for (duration played{}; played < length; played += view_follower::tick_period) {
+            clock_.advance(view_follower::tick_period);
+            store_.answer_due_calls();
+            check();
+            follower_.on_tick();
+        }
+    }
+
+    manual_clock clock_;
+    split_mix random_;
+    late_store store_{clock_};
+    follower_settings settings_;
+    view_follower follower_{store_, clock_, random_, settings_};
+};
+
 /// A follower and a mock store; the test supplies the store's responses through `response_callback_`.
 struct follower_fixture {
     follower_fixture()
@@ -131,31 +159,17 @@
 {
     const auto bound = GENERATE(duration(2s), duration(2500ms));
     const auto rank = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{100});
-    manual_clock clock;
-    split_mix random;
-    late_store store(clock);
-    follower_settings settings;
-    settings.max_staleness_ = bound;
-    view_follower follower(store, clock, random, settings);
-    follower.on_tick();
-    follower.set_rank(rank);
-    store.run_until_answered();
-    const auto play = [&](duration length) {
-        for (duration played{}; played < length; played += view_follower::tick_period) {
-            clock.advance(view_follower::tick_period);
-            store.answer_due_calls();
-            follower.on_tick();
-            CHECK(follower.usable());
-        }
-    };
-    play(5s);
-    store.lose_all_ = true;
+    late_store_fixture fixture(bound, rank);
+    const auto& follower = fixture.follower_;
+    const auto check_usable = [&] { CHECK(follower.usable()); };
+    fixture.play(5s, check_usable);
+    fixture.store_.lose_all_ = true;
     const auto before = follower.counters().store_calls_;
-    play(20s);
+    fixture.play(20s, check_usable);
     CHECK_FALSE(follower.store_reachable());
     CHECK(follower.counters().store_calls_ - before < 25);
-    store.lose_all_ = false;
-    play(3s);
+    fixture.store_.lose_all_ = false;
+    fixture.play(3s, check_usable);
     CHECK(follower.store_reachable());
     CHECK_FALSE(follower.overdue());
 }
@@ -176,28 +190,15 @@
 {
     const auto bound = GENERATE(duration(2s), duration(2500ms));
     const auto rank = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{100});
-    manual_clock clock;
-    split_mix random;
-    late_store store(clock);
-    follower_settings settings;
-    settings.max_staleness_ = bound;
-    view_follower follower(store, clock, random, settings);
-    follower.on_tick();
-    follower.set_rank(rank);
-    store.run_until_answered();
+    late_store_fixture fixture(bound, rank);
     duration oldest{};
     for (int lost = 0; lost < 5; ++lost) {
-        store.lose_next_ = true;
-        for (int i = 0; i < 100; ++i) { // 5 s
-            clock.advance(view_follower::tick_period);
-            store.answer_due_calls();
-            oldest = std::max(oldest, follower.age());
-            follower.on_tick();
-        }
+        fixture.store_.lose_next_ = true;
+        fixture.play(5s, [&] { oldest = std::max(oldest, fixture.follower_.age()); });
     }
-    CHECK(store.lost_ == 5);
+    CHECK(fixture.store_.lost_ == 5);
     CHECK(oldest <= bound);
-    CHECK(follower.store_reachable());
+    CHECK(fixture.follower_.store_reachable());
 }
 
 TEST_CASE("a view older than its bound is not usable until the store was read or could not be")
