--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -131,7 +131,7 @@
     log.line(text);
     std::puts(text.c_str());
     fronts.clear();
-    where.remove_folder();
+    sleep_ms(1'000); // The threads that served the nodes end by then.
     const bool broken = unanswered >= late_to_break && unanswered * 4 > longer;
     return served < sent / 2 ? 2 : broken ? 1 : 0;
 }
--- a/review/stand_ins/stand_ins.cpp
+++ b/review/stand_ins/stand_ins.cpp
@@ -445,7 +445,7 @@
     store_address_ = net_ + ".2";
 }
 
-void deployment::remove_folder() const
+deployment::~deployment()
 {
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -149,6 +149,9 @@
 /// A deployment's fixed addresses and its configuration, in the platform's formats.
 struct deployment {
     deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+    ~deployment();
     std::string net_; ///< First three numbers of the loopback addresses.
     std::string store_address_;
     std::uint16_t base_port_ = 0;
@@ -162,7 +165,6 @@
     [[nodiscard]] std::uint16_t store_port() const { return static_cast<std::uint16_t>(base_port_ + 3); }
     [[nodiscard]] std::uint16_t worker_port() const { return static_cast<std::uint16_t>(base_port_ + 4); }
     [[nodiscard]] std::uint16_t peer_port() const { return static_cast<std::uint16_t>(base_port_ + 5); }
-    void remove_folder() const;
 };
 
 /// A node of the system: the program of the deploy file in a process of its own.
