Calls: the deadline holds for the whole response, not only for its head

Cause: call_engine::schedule_wakeup set no timer once the head had been passed on, and neither the connection to the upstream nor the one to the caller has a limit for that case. Evidence: in the nodes' logs such a call starts, nothing follows at its deadline, and 2 s later its caller goes away; calls beside it start and finish meanwhile, so the loop was not held up.

Change: from the deadline on the engine samples the progress of an incomplete response each 100 ms and cuts it off when two samples in a row find the caller waiting for the upstream and less than 4 KB between them. A response that goes on arriving, or waits for its caller, is passed on; after a pause of the process what has arrived is read first. The attempt counts as a failure of the upstream and gives its slot back. Responses of other nodes to forwarded calls take the same path.

The cases of relayed_response_test.cpp need the new port function.

--- a/bench/core_benchmark.cpp
+++ b/bench/core_benchmark.cpp
@@ -41,6 +41,7 @@
     void reject(call_id, const problem&) override {}
     void relay(call_id, attempt_id) override {}
     void abort(call_id) override {}
+    [[nodiscard]] relay_progress progress_of(call_id) const override { return {}; }
     void claim(call_id, const std::string&, const std::string&) override {}
     void release(call_id) override {}
     void keep(call_id) override {}
--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -361,7 +361,7 @@
 {
     const call_id id{next_call_++};
     auto& request = from.request();
-    auto owned = std::make_unique<exchange>(exchange{id, from, {}, 0, {}, false, false, false});
+    auto owned = std::make_unique<exchange>(exchange{id, from, {}, 0, {}, 0, false, false, false});
     exchange& opened = *owned;
     opened.body_bytes_ = evbuffer_get_length(request.body());
     held_bytes_ += opened.body_bytes_;
@@ -494,6 +494,7 @@
         evbuffer_drain(bytes, evbuffer_get_length(bytes));
         return true;
     }
+    current->relayed_bytes_ += evbuffer_get_length(bytes);
     current->connection_.add_body(bytes);
     current->paused_ = current->connection_.unsent_bytes() > body_limit();
     counters_.response_pauses_ += current->paused_ ? 1 : 0;
@@ -532,13 +533,23 @@
     if (current == nullptr) {
         return;
     }
-    write_log(log_level::warning, "answer cut off: the upstream failed before the end of its body",
-              {{"request_id", current->outgoing_.request_id_}});
+    write_log(log_level::warning, "answer cut off before the end of its body",
+              {{"request_id", current->outgoing_.request_id_}, {"body_bytes", current->relayed_bytes_}});
     caller_connection& connection = current->connection_;
     remove(call);
     connection.abort();
 }
 
+relay_progress caller_server::progress_of(call_id call) const
+{
+    const auto found = exchanges_.find(call);
+    if (found == exchanges_.end()) {
+        return {};
+    }
+    const auto& current = *found->second;
+    return {current.relayed_bytes_, !current.answered_ && current.connection_.unsent_bytes() == 0};
+}
+
 void caller_server::on_closed(caller_connection& from)
 {
     if (const auto served = call_by_connection_.find(&from); served != call_by_connection_.end()) {
@@ -546,7 +557,8 @@
         ++counters_.callers_gone_;
         write_log(log_level::info, "the caller went away",
                   {{"request_id", exchanges_.at(call)->outgoing_.request_id_},
-                   {"answered", exchanges_.at(call)->answered_}});
+                   {"answered", exchanges_.at(call)->answered_},
+                   {"body_bytes", exchanges_.at(call)->relayed_bytes_}});
         remove(call);
         engine_->on_caller_gone(call);
     }
--- a/src/adapters/http/caller_server.h
+++ b/src/adapters/http/caller_server.h
@@ -87,6 +87,7 @@
     void reject(call_id call, const problem& why) override;
     void relay(call_id call, attempt_id attempt) override;
     void abort(call_id call) override;
+    [[nodiscard]] relay_progress progress_of(call_id call) const override;
     bool on_body(call_id call, evbuffer* bytes) override;
     void on_body_end(call_id call) override;
     [[nodiscard]] std::size_t body_limit() const override
@@ -121,6 +122,7 @@
         outgoing_request outgoing_;
         std::size_t body_bytes_ = 0;
         attempt_id relayed_attempt_{};
+        std::uint64_t relayed_bytes_ = 0; ///< Of the response's body.
         bool paused_ = false;
         bool answered_ = false; ///< The complete response was handed to the connection.
         bool large_ = false;    ///< A response of an upstream is one of the large ones.
--- a/src/core/calls/call_engine.cpp
+++ b/src/core/calls/call_engine.cpp
@@ -1,5 +1,6 @@
 // Life cycle of a call in the call engine: its arrival and claim, its attempts at upstreams and their
-// responses, and the response that the caller gets; see call_engine_retries.cpp for what follows a failure.
+// outcomes; see call_engine_relaying.cpp for the response that the caller gets and call_engine_retries.cpp
+// for what follows a failure.
 // Each handler leaves the engine consistent before it calls a port, because a port may report back from
 // inside the call (`claim_port::claim` does).
 #include "core/calls/call_engine.h"
@@ -342,25 +343,6 @@
     end_attempt(attempt);
 }
 
-void call_engine::relay_response(call_state& state, attempt_id attempt, const response_head& head)
-{
-    const auto& answered = attempts_.at(attempt);
-    auto* service = find_service(answered.service_);
-    auto* upstream = service == nullptr ? nullptr : service->find(answered.upstream_);
-    state.verdict_ = verdict::ran;
-    state.phase_ = phase::relaying;
-    state.hedge_at_.reset();
-    withdraw_slot_request(state);
-    auto record = record_of(state);
-    record.status_ = head.status_;
-    record.upstream_ = answered.upstream_;
-    record.data_centre_ = upstream == nullptr ? "" : upstream->config().data_centre_;
-    state.relayed_ = record;
-    cancel_attempts(state, attempt);
-    schedule_wakeup(state);
-    ports_.callers_.relay(state.call_.id_, attempt);
-}
-
 void call_engine::on_attempt_ended(attempt_id attempt, attempt_outcome outcome)
 {
     const auto found = attempts_.find(attempt);
@@ -398,7 +380,6 @@
         }
         state.verdict_ = combine_verdicts(state.verdict_, verdict::may_have_run);
     }
-    const call_id call = ended.call_;
     if (outcome != attempt_outcome::complete) {
         found->second.end_.outcome_ =
             outcome == attempt_outcome::not_sent ? slot_outcome::not_sent : slot_outcome::failed;
@@ -407,21 +388,7 @@
     switch (outcome) {
     case attempt_outcome::complete:
     case attempt_outcome::broken_answer:
-        if (state.relayed_) {
-            auto record = *state.relayed_;
-            if (outcome == attempt_outcome::broken_answer) {
-                record.status_ = status_of(problem_kind::upstream_broken);
-                record.problem_ = problem_kind::upstream_broken;
-            }
-            ports_.observer_.on_call_finished(record);
-        }
-        if (outcome == attempt_outcome::broken_answer) {
-            ports_.callers_.abort(call);
-        }
-        ports_.claims_.keep(call);
-        wakeups_.erase({state.wake_at_, call});
-        calls_.erase(call);
-        return;
+    case attempt_outcome::stalled_answer: finish_relayed(state, outcome); return;
     case attempt_outcome::not_sent:
         retry_or_reject(state, problem_kind::upstream_unreachable,
                         "no connection to an upstream could be made");
--- a/src/core/calls/call_engine.h
+++ b/src/core/calls/call_engine.h
@@ -217,22 +217,30 @@
     /// has attempts without a usable response; `relaying`: the response is being passed to the caller.
     enum class phase { admitting, claiming, waiting, running, relaying };
 
+    /// Progress of a relayed response at a time after the call's deadline.
+    struct progress_sample {
+        time_point at_{};
+        time_point next_{}; ///< When the next sample is due.
+        relay_progress progress_{};
+    };
+
     struct call_state {
         call call_;
         phase phase_ = phase::waiting;
         bool claimed_ = false;
         verdict verdict_ = verdict::not_run;
         int attempts_made_ = 0;
-        std::vector<attempt_id> active_;        ///< Attempts that have not ended.
-        std::set<std::string> tried_;           ///< Upstreams of all attempts of this call.
-        std::set<std::string> peers_tried_;     ///< Nodes that the call was forwarded to.
-        int unsent_attempts_ = 0;               ///< Attempts that got no connection to an upstream.
-        std::optional<time_point> hedge_at_;    ///< When a second attempt may be started.
-        std::optional<call_record> relayed_;    ///< Set once the head of a response was passed to the caller.
-        time_point wake_at_{};                  ///< Key of this call in `wakeups_`.
-        std::optional<time_point> admitted_at_; ///< When it got a token; empty: it has none or needs none.
-        bool awaits_slot_ = false;              ///< A slot request is open.
-        bool chooses_alone_ = false;            ///< No dispatcher answered its slot request.
+        std::vector<attempt_id> active_;     ///< Attempts that have not ended.
+        std::set<std::string> tried_;        ///< Upstreams of all attempts of this call.
+        std::set<std::string> peers_tried_;  ///< Nodes that the call was forwarded to.
+        int unsent_attempts_ = 0;            ///< Attempts that got no connection to an upstream.
+        std::optional<time_point> hedge_at_; ///< When a second attempt may be started.
+        std::optional<call_record> relayed_; ///< Set once the head of a response was passed to the caller.
+        std::optional<progress_sample> progress_; ///< The latest one.
+        time_point wake_at_{};                    ///< Key of this call in `wakeups_`.
+        std::optional<time_point> admitted_at_;   ///< When it got a token; empty: it has none or needs none.
+        bool awaits_slot_ = false;                ///< A slot request is open.
+        bool chooses_alone_ = false;              ///< No dispatcher answered its slot request.
         connection_need slot_need_ = connection_need::any; ///< For the attempt that awaits a slot.
         std::optional<duration>
             expected_wait_; ///< Stated by the dispatcher or the `admission_policy` that refused it.
@@ -311,6 +319,12 @@
     std::chrono::milliseconds retry_after(const service_state* service,
                                           std::optional<duration> expected_wait);
     void relay_response(call_state& state, attempt_id attempt, const response_head& head);
+
+    /// Cuts off a relayed response that is incomplete after the call's deadline and has stopped arriving.
+    void check_progress(call_state& state);
+
+    /// Ends a call whose response was relayed, completely or in part.
+    void finish_relayed(const call_state& state, attempt_outcome outcome);
     void record_outcome(const attempt_state& answered, const call_state& state, const response_head& head);
     void apply_self_report(const service_state& service, upstream_tracker& upstream,
                            const self_report& report, bool served, time_point sent_at);
@@ -348,7 +362,7 @@
     std::map<std::string, service_state> services_;
     std::unordered_map<call_id, call_state> calls_;
     std::unordered_map<attempt_id, attempt_state> attempts_;
-    std::set<std::pair<time_point, call_id>> wakeups_; ///< One timer per call that is not being relayed.
+    std::set<std::pair<time_point, call_id>> wakeups_; ///< One timer per call.
     crash_suspects suspects_;
     upstream_reachability reachability_;
     std::uint64_t rate_limit_notices_ = 0;
--- a/src/core/calls/call_engine_waiting.cpp
+++ b/src/core/calls/call_engine_waiting.cpp
@@ -244,10 +244,10 @@
 void call_engine::schedule_wakeup(call_state& state)
 {
     wakeups_.erase({state.wake_at_, state.call_.id_});
-    if (state.phase_ == phase::relaying) {
-        return;
-    }
     state.wake_at_ = state.phase_ == phase::waiting ? effective_deadline(state) : state.call_.deadline_;
+    if (state.progress_) {
+        state.wake_at_ = state.progress_->next_;
+    }
     const auto* service = find_service(state.call_.service_);
     if (state.phase_ == phase::waiting && service != nullptr) {
         if (service->uses_earliest_finish()) {
@@ -281,6 +281,10 @@
     while (!wakeups_.empty() && wakeups_.begin()->first <= now()) {
         auto& state = calls_.at(wakeups_.begin()->second);
         wakeups_.erase(wakeups_.begin());
+        if (state.phase_ == phase::relaying) {
+            check_progress(state);
+            continue;
+        }
         const bool deadline_passed = now() >= state.call_.deadline_;
         if (!deadline_passed && state.phase_ == phase::waiting && start_or_wait_again(state)) {
             continue;
--- a/src/ports/caller_port.h
+++ b/src/ports/caller_port.h
@@ -6,6 +6,13 @@
 
 namespace anvilpost {
 
+/// How far a relayed response has got between its upstream and its caller.
+struct relay_progress {
+    std::uint64_t body_bytes_ = 0; ///< Of the body, received from the upstream so far.
+    /// The caller was sent all that was received, and more is to come from the upstream.
+    bool awaits_upstream_ = false;
+};
+
 /// Each call gets exactly one of `reject` and `relay`; `relay` may be followed by one `abort`.
 class caller_port {
 public:
@@ -19,6 +26,9 @@
 
     /// Aborts a relayed response in a way that the caller cannot mistake for a complete one.
     virtual void abort(call_id call) = 0;
+
+    /// Returns the progress of a relayed response.
+    [[nodiscard]] virtual relay_progress progress_of(call_id call) const = 0;
 };
 
 } // namespace anvilpost
--- a/src/vocabulary/call.h
+++ b/src/vocabulary/call.h
@@ -35,7 +35,8 @@
     std::optional<key_digest> key_;  ///< That the caller showed; checked again before each attempt.
     time_point arrival_{};
     time_point objective_{}; ///< Latency objective; a response after it counts as late.
-    time_point deadline_{};  ///< The response head must have arrived by then.
+    /// The response must have arrived by then, or be arriving; see call_engine_relaying.cpp.
+    time_point deadline_{};
 };
 
 /// Which connections to the upstream an attempt may use.
@@ -92,19 +93,21 @@
 
 /// How an attempt ended.
 enum class attempt_outcome {
-    complete,     ///< The whole response arrived.
-    not_sent,     ///< No byte of the request was written to the network.
-    broken,       ///< No usable response came after at least one byte was written; nothing was relayed.
-    broken_answer ///< The response failed after its head had been relayed to the caller.
+    complete,      ///< The whole response arrived.
+    not_sent,      ///< No byte of the request was written to the network.
+    broken,        ///< No usable response came after at least one byte was written; nothing was relayed.
+    broken_answer, ///< The response failed after its head had been relayed to the caller.
+    stalled_answer ///< The relayed response was incomplete at the deadline and had stopped arriving.
 };
 
 template <>
 struct enum_names<attempt_outcome> {
-    static constexpr std::array<std::pair<attempt_outcome, std::string_view>, 4> table{{
+    static constexpr std::array<std::pair<attempt_outcome, std::string_view>, 5> table{{
         {attempt_outcome::complete, "complete"},
         {attempt_outcome::not_sent, "not_sent"},
         {attempt_outcome::broken, "broken"},
         {attempt_outcome::broken_answer, "broken_answer"},
+        {attempt_outcome::stalled_answer, "stalled_answer"},
     }};
 };
 
--- a/testing/emulator/emulated_fleet.cpp
+++ b/testing/emulator/emulated_fleet.cpp
@@ -54,6 +54,7 @@
     void reject(call_id call, const problem& why) override;
     void relay(call_id call, attempt_id attempt) override;
     void abort(call_id) override {}
+    [[nodiscard]] relay_progress progress_of(call_id) const override { return {}; }
     void send(const std::string& ip, std::uint16_t port, const std::string& bytes) override;
 
     void tick();
--- a/testing/scenario/simulation.cpp
+++ b/testing/scenario/simulation.cpp
@@ -239,6 +239,7 @@
     }
 
     void abort(call_id call) override { outcome_of(call).problem_ = "aborted"; }
+    [[nodiscard]] relay_progress progress_of(call_id) const override { return {}; }
     void on_call_finished(const call_record&) override {}
 
     /// Runs `event` now, or once the node is thawed.
--- a/tests/adapters/upstream_pool_test.cpp
+++ b/tests/adapters/upstream_pool_test.cpp
@@ -75,6 +75,13 @@
         service.upstreams_["u1"] = {"127.0.0.1", upstream_.port(), "", "", upstream_state::active};
         server_.apply(config);
         engine_.apply(config);
+        run_engine_timers();
+    }
+
+    void run_engine_timers()
+    {
+        engine_.on_wakeup();
+        engine_timer_.start(5ms);
     }
 
     test_upstream upstream_;
@@ -88,6 +95,7 @@
     organisation_directory organisations_;
     caller_server server_{loop_, clock_, random_, "127.0.0.1", 0, {}, {}, "entry-1", organisations_};
     call_engine engine_{{clock_, random_, pool_, server_, claims_, observer_}};
+    timer engine_timer_{loop_, [this] { run_engine_timers(); }};
 };
 
 } // namespace
@@ -111,3 +119,53 @@
     CHECK(caller.received().starts_with("HTTP/1.1 502"));
     CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
 }
+
+// Guards against callers that wait for ever: the time limit of a call ended when the head of its response was
+// passed on.
+TEST_CASE("a response that stops after its head was passed on is cut off soon after the deadline")
+{
+    constexpr duration timeout = 300ms;
+    constexpr duration latest_end = 250ms; ///< After the deadline.
+    const std::string head =
+        GENERATE("Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n28\r\n");
+    call_path_fixture fixture;
+    test_caller caller(fixture.server_.port());
+    const auto sent = fixture.clock_.now();
+    caller.send("GET / HTTP/1.1\r\nHost: desk.example\r\nAnvilpost-Timeout-Ms: 300\r\n\r\n");
+    REQUIRE(run_loop_until(fixture.loop_, [&] { return fixture.upstream_.has_request(); }));
+    fixture.upstream_.send("HTTP/1.1 200 OK\r\n" + head + std::string(40, 'x'));
+    const auto is_reset = [&] { return !caller.received().empty() && caller.reset(); };
+    REQUIRE(run_loop_until(fixture.loop_, [&] { return !caller.received().empty(); }));
+    CHECK_FALSE(is_reset());
+    REQUIRE(run_loop_until(fixture.loop_, is_reset, 2s));
+    const auto took = fixture.clock_.now() - sent;
+    CHECK(took >= timeout);
+    CHECK(took < timeout + latest_end);
+    REQUIRE(fixture.observer_.records_.size() == 1);
+    CHECK(fixture.observer_.records_[0].problem_ == problem_kind::deadline_exceeded);
+    CHECK(fixture.server_.open_exchanges() == 0);
+    // The upstream may still send the rest; no other request may get it.
+    CHECK_FALSE(
+        fixture.pool_.has_idle_connection("127.0.0.1", fixture.upstream_.port(), connection_need::any));
+}
+
+TEST_CASE("a response that arrives without a pause is passed on whole, also after the deadline")
+{
+    constexpr int pieces = 30;
+    const std::string piece(8000, 'x');
+    call_path_fixture fixture;
+    test_caller caller(fixture.server_.port());
+    caller.send("GET / HTTP/1.1\r\nHost: desk.example\r\nAnvilpost-Timeout-Ms: 200\r\n\r\n");
+    REQUIRE(run_loop_until(fixture.loop_, [&] { return fixture.upstream_.has_request(); }));
+    fixture.upstream_.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces * piece.size()) +
+                           "\r\n\r\n");
+    for (int i = 0; i < pieces; ++i) {
+        run_loop(fixture.loop_, 20ms);
+        fixture.upstream_.send(piece);
+        caller.received();
+    }
+    CHECK(run_loop_until(fixture.loop_, [&] { return fixture.server_.open_exchanges() == 0; }));
+    const auto body = caller.received().substr(caller.received().find("\r\n\r\n") + 4);
+    CHECK(body.size() == pieces * piece.size());
+    CHECK_FALSE(caller.reset());
+}
--- a/tests/core/dispatch_fleet.h
+++ b/tests/core/dispatch_fleet.h
@@ -87,6 +87,7 @@
         void reject(call_id call, const problem& why) override { fleet_.on_rejected(call, why); }
         void relay(call_id call, attempt_id) override { fleet_.on_served(call); }
         void abort(call_id) override {}
+        [[nodiscard]] relay_progress progress_of(call_id) const override { return {}; }
 
         void wake()
         {
--- a/tests/core/fakes.h
+++ b/tests/core/fakes.h
@@ -48,11 +48,13 @@
         ++responses_[call];
     }
     void abort(call_id call) override { aborted_.push_back(call); }
+    [[nodiscard]] relay_progress progress_of(call_id call) const override { return progress_.at(call); }
 
     std::map<call_id, problem> rejected_;
     std::map<call_id, attempt_id> relayed_;
     std::map<call_id, int> responses_;
     std::vector<call_id> aborted_;
+    std::map<call_id, relay_progress> progress_; ///< Set by the test.
 };
 
 /// Records claims. It decides none: tests call `call_engine::on_claim_decided` themselves.
