--- a/testing/upstream/main.cpp
+++ b/testing/upstream/main.cpp
@@ -189,8 +189,8 @@
             start_jobs();
             return;
         }
-        if (finished_job->requested_fault_ == "cut") {
-            send_truncated_response(request);
+        if (finished_job->requested_fault_ == "cut" || finished_job->requested_fault_ == "stall") {
+            send_truncated_response(request, finished_job->requested_fault_ == "cut");
         }
         else {
             evhttp_connection* connection = evhttp_request_get_connection(request);
@@ -208,8 +208,8 @@
         start_jobs();
     }
 
-    /// Announces more bytes than it sends, then closes the connection.
-    void send_truncated_response(evhttp_request* request)
+    /// Announces more bytes than it sends, then closes the connection or leaves it open.
+    void send_truncated_response(evhttp_request* request, bool closes)
     {
         evhttp_connection* connection = evhttp_request_get_connection(request);
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
@@ -219,6 +219,9 @@
         evbuffer_add_printf(partial_body, "%0500d", 0);
         evhttp_send_reply_chunk(request, partial_body);
         evbuffer_free(partial_body);
+        if (!closes) {
+            return;
+        }
         auto close_timer = std::make_shared<std::unique_ptr<timer>>();
         *close_timer = std::make_unique<timer>(loop_, [this, close_timer, connection] {
             evhttp_connection_free(connection);
--- a/tests/end_to_end/call_path_test.cpp
+++ b/tests/end_to_end/call_path_test.cpp
@@ -74,6 +74,22 @@
     REQUIRE(response.verdict_ == "may_have_run");
 }
 
+// Guards against callers that wait for ever: see docs/incidents/magnolia-truncated-response.md.
+TEST_CASE("a response that stops half-way on an open connection ends soon after the call's timeout")
+{
+    fleet fleet(1, 1);
+    fleet.put_desk();
+    const auto sent = std::chrono::steady_clock::now();
+    const auto received = send_raw(
+        fleet.call_port(0),
+        "GET / HTTP/1.1\r\nHost: desk.example\r\nX-Stand-In: stall\r\nAnvilpost-Timeout-Ms: 300\r\n\r\n");
+    INFO(received);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(std::chrono::steady_clock::now() - sent < std::chrono::seconds(2)); // send_raw gives up after 3 s.
+    CHECK(eventually([&] { return fleet.status(0).value("in_flight", -1) == 0; }));
+    CHECK(fleet.call("GET", "/").status_ == 200);
+}
+
 TEST_CASE("surplus bytes that an upstream sends after a response never reach the next caller")
 {
     fleet fleet(1, 1);
