View of the store: log and measure how each revision reaches a node

No decision changes here.

Views that nodes send each other say how long the first node has known the revision (older builds send none and ignore it). Log lines "view updated", "the store cannot be read" / "can be read again"; failed fetches name the peer, the reason and the time. Metrics view_update_age_max_ms, view_update_delay_max_ms, view_fetches_failed_total. The fetches move from the daemon to core/fleet/view_fetcher, so that tests in virtual time run the same code, and the event clock of the dispatch tests to a file of its own.

--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -513,9 +513,8 @@
             verified_at = std::min(now, sent_at + echo.hold_time_) - *message.view_age_;
         }
     }
-    if (ports_.follower_.on_peer_view(message.view_revision_, verified_at) && fetch_view_) {
-        ++counters_.view_fetches_;
-        fetch_view_(message.sender_, ports_.follower_.complete() ? ports_.follower_.view().revision() : 0);
+    if (ports_.follower_.on_peer_view(message.view_revision_, verified_at) && on_later_view_) {
+        on_later_view_(message.sender_);
     }
 }
 
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -35,9 +35,8 @@
     std::uint64_t messages_sent_ = 0;
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t messages_received_ = 0;
-    std::uint64_t unreadable_ = 0;   ///< Datagrams that were no message of this version.
-    std::uint64_t duplicates_ = 0;   ///< Messages that had arrived before.
-    std::uint64_t view_fetches_ = 0; ///< Requests to a peer for a later view.
+    std::uint64_t unreadable_ = 0; ///< Datagrams that were no message of this version.
+    std::uint64_t duplicates_ = 0; ///< Messages that had arrived before.
 };
 
 /// The parts of a node that the exchange works with. All must outlive it.
@@ -106,9 +105,8 @@
     /// A leader notifies the whole fleet.
     void announce_stopping();
 
-    /// Called when a peer has a later view than this node. Must fetch the changes after `after_revision` (0:
-    /// the whole view) from that peer and hand them to the view follower.
-    std::function<void(const peer& from, std::uint64_t after_revision)> fetch_view_;
+    /// Called when a peer states that it has a later view than this node.
+    std::function<void(const peer& from)> on_later_view_;
 
     [[nodiscard]] const peer_table& peers() const { return peers_; }
     [[nodiscard]] const duty_assignment& duties() const { return duties_; }
--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -173,9 +173,12 @@
         long_outage_ = true;
         outage_ended_ = clock_.now();
     }
+    const auto before = complete_ ? view_.revision() : 0;
+    const auto age_before = age();
     complete_ = true;
     const auto updates = view_.replace(result.items_, result.revision_, leases_may_have_lapsed());
     verified_at_ = std::max(verified_at_, started);
+    report_update(before, age_before, updates.size(), {"", clock_.now()});
     publish(updates);
 }
 
@@ -199,6 +202,8 @@
         full_read_due_ = true;
         return;
     }
+    const auto before = view_.revision();
+    const auto age_before = age();
     const auto updates = view_.apply(changes, result.revision_);
     // An empty response that came back before the wait had passed proves only that the call was read.
     const bool waited = clock_.now() - started >= wait;
@@ -206,6 +211,7 @@
     if (!changes.empty()) {
         next_call_ = clock_.now() + settings_.batch_pause_;
     }
+    report_update(before, age_before, updates.size(), {"", clock_.now()});
     publish(updates);
 }
 
@@ -219,20 +225,36 @@
 }
 
 void view_follower::on_peer_changes(const std::vector<stored_item>& changes, bool is_snapshot,
-                                    std::uint64_t revision, time_point verified_at)
+                                    std::uint64_t revision, time_point verified_at, const view_origin& origin)
 {
     if (!is_snapshot && !complete_) {
         return;
     }
     const bool restored = epoch_of(revision) > epoch_of(view_.revision());
+    const auto before = complete_ ? view_.revision() : 0;
+    const auto age_before = age();
     const auto updates =
         is_snapshot ? view_.replace(changes, revision, restored) : view_.apply(changes, revision);
     complete_ = true;
     counters_.changes_from_peers_ += updates.size();
     verified_at_ = std::max(verified_at_, verified_at);
+    report_update(before, age_before, updates.size(), origin);
     publish(updates);
 }
 
+void view_follower::report_update(std::uint64_t before, duration age_before, std::size_t changes,
+                                  const view_origin& origin)
+{
+    if (view_.revision() <= before) {
+        return;
+    }
+    known_since_ = origin.known_since_;
+    // The first view of a node that has just started replaces none.
+    if (before != 0 && update_listener_) {
+        update_listener_({view_.revision(), origin.peer_, changes, age_before, known_for()});
+    }
+}
+
 void view_follower::publish(const std::vector<stored_item>& updates)
 {
     if (!updates.empty() && listener_) {
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -53,10 +53,27 @@
     std::uint64_t store_restores_ = 0;     ///< Full reads that found the store restored from an older copy.
 };
 
+/// The peer whose view a node took over.
+struct view_origin {
+    std::string peer_;
+    /// When the first node of the fleet had the view's revision, on this node's clock; not later than that.
+    time_point known_since_{};
+};
+
+/// A later revision of the view: how this node got it, and how late it can be.
+struct view_update {
+    std::uint64_t revision_ = 0;
+    std::string peer_;        ///< The peer that it came from; empty: this node read the store.
+    std::size_t changes_ = 0; ///< Items that changed.
+    duration age_before_{};   ///< Age of the view until now. No change of this update is older.
+    duration known_for_{};    ///< Time since the first node had the revision; at most overstated.
+};
+
 /// Invariant: the view holds every change that the store made before `verified_at()`.
 class view_follower {
 public:
     using change_listener = std::function<void(const std::vector<stored_item>& changes)>;
+    using update_listener = std::function<void(const view_update& update)>;
 
     view_follower(registry_store_port& store, const clock_port& clock, random_port& random,
                   const follower_settings& settings);
@@ -64,6 +81,9 @@
     /// Sets the listener for each batch of changes. It is called after the view holds them.
     void on_change(change_listener listener) { listener_ = std::move(listener); }
 
+    /// Sets the listener for each later revision of a complete view.
+    void on_update(update_listener listener) { update_listener_ = std::move(listener); }
+
     /// Must be called every `tick_period`.
     void on_tick();
     static constexpr duration tick_period = std::chrono::milliseconds(50);
@@ -81,7 +101,7 @@
 
     /// Merges what a peer sent: a full view when `is_snapshot`, otherwise changes.
     void on_peer_changes(const std::vector<stored_item>& changes, bool is_snapshot, std::uint64_t revision,
-                         time_point verified_at);
+                         time_point verified_at, const view_origin& origin = {});
 
     [[nodiscard]] const store_view& view() const { return view_; }
 
@@ -92,6 +112,9 @@
     [[nodiscard]] time_point verified_at() const { return verified_at_; }
     [[nodiscard]] duration age() const { return clock_.now() - verified_at_; }
 
+    /// Returns the time since the first node of the fleet had the revision of this view.
+    [[nodiscard]] duration known_for() const { return clock_.now() - known_since_; }
+
     /// True while a change of the store may have been missing here for longer than the bound.
     [[nodiscard]] bool overdue() const { return complete_ && age() > settings_.max_staleness_; }
 
@@ -113,6 +136,9 @@
     [[nodiscard]] bool may_call() const;
     void on_store_response(store_status status, time_point started);
     void publish(const std::vector<stored_item>& updates);
+    /// Dates the view's revision and reports it if it is later than `before`.
+    void report_update(std::uint64_t before, duration age_before, std::size_t changes,
+                       const view_origin& origin);
     [[nodiscard]] bool leases_may_have_lapsed() const;
     [[nodiscard]] duration age_before_read() const;
 
@@ -121,6 +147,7 @@
     random_port& random_;
     follower_settings settings_;
     change_listener listener_;
+    update_listener update_listener_;
     store_view view_;
     bool complete_ = false; ///< A full view has arrived.
     bool full_read_due_ = false;
@@ -129,7 +156,8 @@
     time_point last_answered_{}; ///< Start of the latest call that the store answered.
     std::size_t rank_ = 0;
     time_point verified_at_{};
-    time_point next_call_{}; ///< Earliest time of the next store call.
+    time_point known_since_{}; ///< When the first node had the view's revision.
+    time_point next_call_{};   ///< Earliest time of the next store call.
     bool store_reachable_ = true;
     int consecutive_failures_ = 0;
     int consecutive_own_delays_ = 0; ///< Time-outs that say nothing of the store, one after the other.
--- a/src/core/fleet/view_messages.cpp
+++ b/src/core/fleet/view_messages.cpp
@@ -1,4 +1,4 @@
-// Encodes and decodes view messages as CBOR maps. The age is rounded up to milliseconds, so that a view never
+// Encodes and decodes view messages as CBOR maps. Times are rounded up to milliseconds, so that a view never
 // appears fresher than it is.
 #include "core/fleet/view_messages.h"
 
@@ -38,9 +38,12 @@
 
 std::string encode(const view_message& message)
 {
-    const auto age = std::chrono::ceil<std::chrono::milliseconds>(message.age_).count();
+    const auto milliseconds = [](duration length) {
+        return std::chrono::ceil<std::chrono::milliseconds>(length).count();
+    };
     json document{{"rev", message.revision_},
-                  {"age", age},
+                  {"age", milliseconds(message.age_)},
+                  {"known", milliseconds(message.known_for_)},
                   {"whole", message.is_snapshot_},
                   {"vf", message.format_},
                   {"items", json::array()}};
@@ -59,6 +62,7 @@
         view_message message;
         message.revision_ = document.at("rev").get<std::uint64_t>();
         message.age_ = decode_age(document.at("age"));
+        message.known_for_ = document.contains("known") ? decode_age(document.at("known")) : duration{};
         message.is_snapshot_ = document.at("whole").get<bool>();
         message.format_ = document.value("vf", 0);
         for (const auto& item : document.at("items")) {
--- a/src/core/fleet/view_messages.h
+++ b/src/core/fleet/view_messages.h
@@ -18,6 +18,7 @@
     bool is_snapshot_ = false;   ///< `items_` is a full snapshot instead of changes.
     std::vector<stored_item> items_;
     int format_ = view_format; ///< See `view_format`.
+    duration known_for_{};     ///< Time since the first node had `revision_`; 0 in earlier builds.
 
     /// Removes the items that a node of an earlier format does not know; it would reject the whole message.
     void limit_to_format(int format);
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -23,7 +23,6 @@
 /// A tick later than this is logged and counted, since it delays calls by as much.
 constexpr duration late_tick_threshold = std::chrono::milliseconds(60);
 
-constexpr duration fetch_timeout = std::chrono::milliseconds(400);
 constexpr duration probe_choice_period = std::chrono::milliseconds(200);
 
 /// Part of an upstream's probe budget that one prober uses. Below one half, so that two probers stay within
@@ -42,6 +41,11 @@
 
 constexpr double microseconds_per_second = 1e6;
 
+std::int64_t milliseconds(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
 peer describe_self(const registry_node_settings& settings)
 {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -86,7 +90,8 @@
     : loop_(loop), settings_(settings), decisions_(clock_), observer_(decisions_, load_forwarder_),
       call_path_(loop, clock_, random_, claims_, observer_, settings.call_path_),
       registry_(codec, clock_, settings.follower_.lapse_grace_),
-      follower_(store, clock_, random_, settings.follower_),
+      follower_(store, clock_, random_, settings.follower_), view_client_(loop),
+      view_fetcher_(clock_, view_client_, follower_),
       datagrams_(loop, settings.peers_.ip_, settings.peers_.port_,
                  [this](const std::string& bytes) { on_datagram(bytes); }),
       peers_({clock_, random_, datagrams_, follower_, call_path_.engine()}, describe_self(settings)),
@@ -106,7 +111,12 @@
     call_path_.callers().is_current_ = [this] { return follower_.usable(); };
     registry_.on_event_ = log_registry_event;
     peers_.set_seeds(settings.seeds_);
-    peers_.fetch_view_ = [this](const peer& from, std::uint64_t after) { fetch_view(from, after); };
+    peers_.on_later_view_ = [this](const peer& from) { view_fetcher_.on_later_view(from); };
+    view_fetcher_.on_failure_ = [](const peer& from, fetch_failure why, duration asked_for) {
+        write_log(
+            log_level::warning, "a peer's view could not be fetched",
+            {{"peer", from.name_}, {"reason", name_of(why)}, {"asked_for_ms", milliseconds(asked_for)}});
+    };
     load_forwarder_.on_load_ = [this](const std::string& service, const std::string& upstream,
                                       const load_report& report) {
         peers_.record_load(service, upstream, report, true, false);
@@ -149,6 +159,7 @@
         std::find(settings.seeds_.begin(), settings.seeds_.end(), own) != settings.seeds_.end();
     follower_.wait_for_peers(is_seed || settings.seeds_.empty() ? peer_view_wait_as_seed : peer_view_wait);
     follower_.on_change([this](const std::vector<stored_item>& changes) { on_store_changes(changes); });
+    follower_.on_update([this](const view_update& update) { on_view_update(update); });
 }
 
 int registry_node::run()
@@ -211,18 +222,46 @@
     views_overdue_ += overdue ? 1 : 0;
     write_log(overdue ? log_level::warning : log_level::info,
               overdue ? "view of the store is overdue" : "view of the store is current again",
-              {{"age_ms", std::chrono::duration<double, std::milli>(follower_.age()).count()},
+              {{"age_ms", milliseconds(follower_.age())},
                {"store_reachable", follower_.store_reachable()},
                {"store_rank", peers_.duties().store_rank()},
                {"in_flight", call_path_.callers().open_exchanges()}});
 }
 
+/// Tells, per node, from when to when the store could not be read.
+void registry_node::detect_store_outage()
+{
+    if (follower_.store_reachable() == store_reachable_) {
+        return;
+    }
+    store_reachable_ = follower_.store_reachable();
+    write_log(store_reachable_ ? log_level::info : log_level::warning,
+              store_reachable_ ? "the store can be read again" : "the store cannot be read",
+              {{"store_rank", peers_.duties().store_rank()}, {"view_age_ms", milliseconds(follower_.age())}});
+}
+
+/// How late a change is in force on this node: at most by the age that its view had, and since the first node
+/// had the change.
+void registry_node::on_view_update(const view_update& update)
+{
+    max_update_age_ = std::max(max_update_age_, update.age_before_);
+    max_update_delay_ = std::max(max_update_delay_, update.known_for_);
+    write_log(log_level::info, "view updated",
+              {{"revision", number_of(update.revision_)},
+               {"peer", update.peer_},
+               {"changes", update.changes_},
+               {"age_before_ms", milliseconds(update.age_before_)},
+               {"known_for_ms", milliseconds(update.known_for_)},
+               {"store_rank", peers_.duties().store_rank()}});
+}
+
 void registry_node::on_tick()
 {
     clock_.detect_suspension();
     detect_late_tick();
     detect_cut_off();
     detect_overdue_view();
+    detect_store_outage();
     peers_.on_tick();
     dispatch_.on_tick();
     follower_.on_tick();
@@ -342,40 +381,20 @@
     }
 }
 
-void registry_node::fetch_view(const peer& from, std::uint64_t after_revision)
+void view_client::fetch(const peer& from, std::uint64_t after_revision, duration timeout, view_callback done)
 {
-    if (fetching_view_) {
-        return;
-    }
-    fetching_view_ = true;
     fetch_request request;
     request.ip_ = from.ip_;
     request.port_ = from.control_port_;
     request.target_ =
         "/v1/view?after=" + std::to_string(after_revision) + "&vf=" + std::to_string(view_format);
-    request.timeout_ = fetch_timeout;
-    fetch(loop_, request, [this, requested_at = clock_.now()](const fetch_result& result) {
-        on_fetched_view(result, requested_at);
+    request.timeout_ = timeout;
+    anvilpost::fetch(loop_, request, [done = std::move(done)](const fetch_result& result) {
+        constexpr int ok = 200;
+        done(result.status_ == ok ? decode_view_message(result.body_) : std::nullopt);
     });
 }
 
-void registry_node::on_fetched_view(const fetch_result& result, time_point requested_at)
-{
-    constexpr int ok = 200;
-    fetching_view_ = false;
-    const auto message = result.status_ == ok ? decode_view_message(result.body_) : std::nullopt;
-    if (!message) {
-        write_log(log_level::warning, "a peer's view could not be fetched", {{"status", result.status_}});
-        return;
-    }
-    if (message->format_ < view_format) {
-        write_log(log_level::info, "a peer's view has an earlier format", {{"format", message->format_}});
-        return;
-    }
-    follower_.on_peer_changes(message->items_, message->is_snapshot_, message->revision_,
-                              requested_at - message->age_);
-}
-
 page registry_node::view_page(const std::string& query) const
 {
     constexpr int unavailable = 503;
@@ -387,6 +406,7 @@
     const auto revision = std::strtoull(after.c_str(), nullptr, 10);
     message.revision_ = follower_.view().revision();
     message.age_ = follower_.age();
+    message.known_for_ = follower_.known_for();
     message.items_ = follower_.view().changes_after(revision, message.is_snapshot_);
     message.limit_to_format(std::atoi(query_parameter(query, "vf").c_str()));
     return {200, encode(message), "application/cbor"};
@@ -446,9 +466,6 @@
 
 nlohmann::json registry_node::status() const
 {
-    const auto milliseconds = [](duration length) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-    };
     return {{"node", settings_.node_},
             {"data_centre", settings_.data_centre_},
             {"stage", name_of(call_path_.stage())},
@@ -492,6 +509,8 @@
     add_metric(text, "view_revision", "gauge", number_of(follower_.view().revision()));
     add_metric(text, "view_store_epoch", "gauge", epoch_of(follower_.view().revision()));
     add_metric(text, "views_overdue_total", "counter", views_overdue_);
+    add_metric(text, "view_update_age_max_ms", "gauge", milliseconds(max_update_age_));
+    add_metric(text, "view_update_delay_max_ms", "gauge", milliseconds(max_update_delay_));
     add_metric(text, "registry_entries_refused_total", "counter", registry_.refused_entries());
     const auto& exchange = peers_.counters();
     add_metric(text, "peers_live", "gauge", peers_.peers().live(clock_.now()).size());
@@ -501,7 +520,8 @@
     add_metric(text, "peer_messages_unreadable_total", "counter", exchange.unreadable_);
     add_metric(text, "peer_messages_duplicate_total", "counter", exchange.duplicates_);
     add_metric(text, "peer_datagrams_dropped_total", "counter", datagrams_.counters().dropped_);
-    add_metric(text, "view_fetches_total", "counter", exchange.view_fetches_);
+    add_metric(text, "view_fetches_total", "counter", view_fetcher_.counters().started_);
+    add_metric(text, "view_fetches_failed_total", "counter", view_fetcher_.counters().failed_);
     add_metric(text, "probes_sent_total", "counter", prober_.sent());
     add_metric(text, "probes_unanswered_total", "counter", prober_.unanswered());
     add_metric(text, "reaches_upstreams", "gauge", cut_off_ ? 0 : 1);
--- a/src/daemon/registry_node.h
+++ b/src/daemon/registry_node.h
@@ -9,6 +9,7 @@
 #include "adapters/operators/page_server.h"
 #include "core/dispatch/dispatch_exchange.h"
 #include "core/fleet/peer_exchange.h"
+#include "core/fleet/view_fetcher.h"
 #include "core/fleet/view_follower.h"
 #include "core/upstreams/upstream_registry.h"
 #include "daemon/call_path.h"
@@ -49,6 +50,17 @@
     void keep(call_id) override {}
 };
 
+/// Fetches views from the control pages of other nodes.
+class view_client : public peer_view_port {
+public:
+    explicit view_client(event_loop& loop) : loop_(loop) {}
+
+    void fetch(const peer& from, std::uint64_t after_revision, duration timeout, view_callback done) override;
+
+private:
+    event_loop& loop_;
+};
+
 /// Forwards the load reports in upstreams' responses to `on_load_`, which shares them with other nodes.
 class load_forwarder : public call_observer {
 public:
@@ -84,12 +96,12 @@
     void detect_late_tick();
     void detect_cut_off();
     void detect_overdue_view();
+    void detect_store_outage();
     void on_datagram(const std::string& bytes);
     void on_probe_result(const probe_target& target, const probe_result& result);
     void choose_probe_targets();
     void add_reachability_probes(std::vector<probe_target>& targets) const;
-    void fetch_view(const peer& from, std::uint64_t after_revision);
-    void on_fetched_view(const fetch_result& result, time_point requested_at);
+    void on_view_update(const view_update& update);
     [[nodiscard]] page view_page(const std::string& query) const;
     void on_store_changes(const std::vector<stored_item>& changes);
     void apply_effective_configuration();
@@ -112,6 +124,8 @@
     call_path call_path_;
     upstream_registry registry_;
     view_follower follower_;
+    view_client view_client_;
+    view_fetcher view_fetcher_;
     datagram_socket datagrams_;
     peer_exchange peers_;
     dispatch_exchange dispatch_;
@@ -121,11 +135,13 @@
     time_point last_tick_{};
     std::uint64_t late_ticks_ = 0;
     std::uint64_t probes_of_limited_upstreams_ = 0; ///< Ended while the upstream named a rate limit.
-    bool fetching_view_ = false;
-    std::optional<std::uint64_t> store_epoch_; ///< Of the view at its last change.
-    bool cut_off_ = false;                     ///< No upstream can be reached, as last logged.
-    bool view_overdue_ = false;                ///< As last logged.
-    std::uint64_t views_overdue_ = 0;          ///< Times that the view became older than its bound.
+    std::optional<std::uint64_t> store_epoch_;      ///< Of the view at its last change.
+    bool cut_off_ = false;                          ///< No upstream can be reached, as last logged.
+    bool view_overdue_ = false;                     ///< As last logged.
+    bool store_reachable_ = true;                   ///< As last logged.
+    std::uint64_t views_overdue_ = 0;               ///< Times that the view became older than its bound.
+    duration max_update_age_{};                     ///< Greatest age of a view when a later one replaced it.
+    duration max_update_delay_{}; ///< Longest time from the first node's update to this node's.
     page_server ready_server_;
     page_server control_server_;
     timer tick_;
--- a/tests/core/dispatch_fleet.h
+++ b/tests/core/dispatch_fleet.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/dispatch/dispatch_exchange.h"
+#include "core/event_clock.h"
 #include "core/exchange_network.h"
 
 #include <functional>
@@ -14,30 +15,6 @@
 
 namespace anvilpost::testing {
 
-/// A clock with an event queue; events at the same time run in the order in which they were added.
-class event_clock : public clock_port {
-public:
-    [[nodiscard]] time_point now() const override { return now_; }
-    void after(duration delay, std::function<void()> event)
-    {
-        events_.emplace(now_ + delay, std::move(event));
-    }
-    void run(duration length)
-    {
-        const auto end = now_ + length;
-        while (!events_.empty() && events_.begin()->first <= end) {
-            auto event = events_.extract(events_.begin());
-            now_ = event.key();
-            event.mapped()();
-        }
-        now_ = end;
-    }
-
-private:
-    time_point now_{1h};
-    std::multimap<time_point, std::function<void()>> events_;
-};
-
 struct dispatch_fleet_settings {
     int nodes_ = 93;
     int upstreams_ = 40;
@@ -75,7 +52,7 @@
                 });
             };
             engine_.on_earlier_wakeup_ = [this] { wake(); };
-            exchange_.fetch_view_ = [](const peer&, std::uint64_t) {};
+            exchange_.on_later_view_ = [](const peer&) {};
         }
 
         void send(const std::string& ip, std::uint16_t, const std::string& bytes) override
--- a/tests/core/exchange_network.h
+++ b/tests/core/exchange_network.h
@@ -43,7 +43,7 @@
     std::string ip_;
     bool partitioned_ = false; ///< Neither sends nor receives.
     std::string cut_from_;     ///< Data centre to and from which nothing passes.
-    int fetches_ = 0;          ///< Calls of `fetch_view_`.
+    int fetches_ = 0;          ///< Calls of `on_later_view_`.
 };
 
 /// Delivers datagrams without delay or loss and advances the clock of all nodes.
@@ -136,7 +136,7 @@
                                  bool is_news) {
         exchange_.record_warm_up(service, upstream, left, is_news);
     };
-    exchange_.fetch_view_ = [this](const peer&, std::uint64_t) { ++fetches_; };
+    exchange_.on_later_view_ = [this](const peer&) { ++fetches_; };
 }
 
 inline void exchange_node::send(const std::string& ip, std::uint16_t, const std::string& bytes)
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -287,6 +287,28 @@
     REQUIRE(fixture.follower_.age() == 100ms);
 }
 
+TEST_CASE("a later revision is reported with the peer that it came from and how late it can be")
+{
+    follower_fixture fixture;
+    std::vector<view_update> updates;
+    fixture.follower_.on_update([&](const view_update& update) { updates.push_back(update); });
+    fixture.complete_view();
+    CHECK(updates.empty()); // The first view replaces none.
+    fixture.clock_.advance(900ms);
+    const auto now = fixture.clock_.now();
+    fixture.follower_.on_peer_changes({upstream("b", 11)}, false, 11, now - 20ms, {"n7", now - 150ms});
+    REQUIRE(updates.size() == 1);
+    CHECK(updates[0].revision_ == 11);
+    CHECK(updates[0].peer_ == "n7");
+    CHECK(updates[0].changes_ == 1);
+    CHECK(updates[0].age_before_ == 900ms);
+    CHECK(updates[0].known_for_ == 150ms);
+    fixture.clock_.advance(1s);
+    CHECK(fixture.follower_.known_for() == 1150ms); // As told to the next node.
+    fixture.follower_.on_peer_changes({upstream("b", 11)}, false, 11, now, {"n8", now});
+    CHECK(updates.size() == 1); // No later revision.
+}
+
 TEST_CASE("a full read follows when the store no longer has the changes asked for")
 {
     follower_fixture fixture;
