--- a/tests/core/view_fleet.h
+++ b/tests/core/view_fleet.h
@@ -387,6 +387,7 @@
 {
     const auto wanted = static_cast<std::size_t>(share * static_cast<double>(settings_.nodes_));
     auto refused = leaders();
+    refused.resize(std::min(refused.size(), wanted));
     auto others = live_nodes();
     std::erase_if(others, [&](const std::string& name) {
         return std::find(refused.begin(), refused.end(), name) != refused.end();
