--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -514,7 +514,7 @@
         }
     }
     if (ports_.follower_.on_peer_view(message.view_revision_, verified_at) && on_later_view_) {
-        on_later_view_(message.sender_);
+        on_later_view_(message.sender_, message.view_revision_);
     }
 }
 
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -105,8 +105,8 @@
     /// A leader notifies the whole fleet.
     void announce_stopping();
 
-    /// Called when a peer states that it has a later view than this node.
-    std::function<void(const peer& from)> on_later_view_;
+    /// Called when a peer states that it has a later view than this node, complete up to `revision`.
+    std::function<void(const peer& from, std::uint64_t revision)> on_later_view_;
 
     [[nodiscard]] const peer_table& peers() const { return peers_; }
     [[nodiscard]] const duty_assignment& duties() const { return duties_; }
--- a/src/daemon/registry_node.cpp
+++ b/src/daemon/registry_node.cpp
@@ -111,7 +111,9 @@
     call_path_.callers().is_current_ = [this] { return follower_.usable(); };
     registry_.on_event_ = log_registry_event;
     peers_.set_seeds(settings.seeds_);
-    peers_.on_later_view_ = [this](const peer& from) { view_fetcher_.on_later_view(from); };
+    peers_.on_later_view_ = [this](const peer& from, std::uint64_t revision) {
+        view_fetcher_.on_later_view(from, revision);
+    };
     view_fetcher_.on_failure_ = [](const peer& from, fetch_failure why, duration asked_for) {
         write_log(
             log_level::warning, "a peer's view could not be fetched",
@@ -263,6 +265,7 @@
     detect_overdue_view();
     detect_store_outage();
     peers_.on_tick();
+    view_fetcher_.on_tick();
     dispatch_.on_tick();
     follower_.on_tick();
     call_path_.callers().start_waiting_calls();
--- a/testing/emulator/emulated_fleet.cpp
+++ b/testing/emulator/emulated_fleet.cpp
@@ -141,7 +141,7 @@
         exchange_.record_in_flight_change();
     };
     engine_.on_earlier_wakeup_ = [this] { wake(); };
-    exchange_.on_later_view_ = [](const peer&) {};
+    exchange_.on_later_view_ = [](const peer&, std::uint64_t) {};
 }
 
 /// Schedules the engine's next timer.
--- a/tests/core/dispatch_fleet.h
+++ b/tests/core/dispatch_fleet.h
@@ -52,7 +52,7 @@
                 });
             };
             engine_.on_earlier_wakeup_ = [this] { wake(); };
-            exchange_.on_later_view_ = [](const peer&) {};
+            exchange_.on_later_view_ = [](const peer&, std::uint64_t) {};
         }
 
         void send(const std::string& ip, std::uint16_t, const std::string& bytes) override
--- a/tests/core/exchange_network.h
+++ b/tests/core/exchange_network.h
@@ -136,7 +136,7 @@
                                  bool is_news) {
         exchange_.record_warm_up(service, upstream, left, is_news);
     };
-    exchange_.on_later_view_ = [this](const peer&) { ++fetches_; };
+    exchange_.on_later_view_ = [this](const peer&, std::uint64_t) { ++fetches_; };
 }
 
 inline void exchange_node::send(const std::string& ip, std::uint16_t, const std::string& bytes)
--- a/tests/core/view_fleet.h
+++ b/tests/core/view_fleet.h
@@ -270,7 +270,9 @@
       exchange_({fleet.time_, random_, *this, follower_, engine_}, self),
       fetcher_(fleet.time_, *this, follower_), started_at_(fleet.time_.now())
 {
-    exchange_.on_later_view_ = [this](const peer& from) { fetcher_.on_later_view(from); };
+    exchange_.on_later_view_ = [this](const peer& from, std::uint64_t revision) {
+        fetcher_.on_later_view(from, revision);
+    };
     follower_.on_update([this](const view_update&) { fleet_.record_delays(*this); });
     follower_.wait_for_peers(180ms);
 }
@@ -325,6 +327,7 @@
         return;
     }
     exchange_.on_tick();
+    fetcher_.on_tick();
     follower_.on_tick();
     fleet_.check(*this);
     fleet_.time_.after(peer_exchange::tick_period, [this] { tick(); });
