View of the store: an overdue view is not used while a peer has a later one

Callers saw requests handled by an old configuration. Cause: one failed call to the store made a view of any age usable. "My last call failed" was taken for "nobody knows better", also when each message of the peers told that they had a later revision.

Change: an overdue view counts only while neither the store answers this node nor a peer heard in the last 2 s has a later revision. In an outage for all, nobody has a later revision and nothing changes.

Evidence: the new test of the follower failed before (the view was usable after one refusal, with a peer known to be ahead) and passes.

--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -29,6 +29,9 @@
 constexpr duration max_tick_gap = 150ms;
 constexpr int max_own_delays = 3;
 
+/// A peer's statement that it has a later view counts for this long. Peers repeat it at least once a second.
+constexpr duration later_view_retention = 2s;
+
 /// An outage of at least this length may have let leases expire.
 constexpr duration min_outage_for_lapses = 1s;
 
@@ -218,12 +221,20 @@
 bool view_follower::on_peer_view(std::uint64_t revision, time_point verified_at)
 {
     if (!complete_ || revision > view_.revision()) {
+        latest_peer_revision_ = std::max(latest_peer_revision_, revision);
+        later_view_heard_ = clock_.now();
         return revision > 0;
     }
     verified_at_ = std::max(verified_at_, verified_at);
     return false;
 }
 
+bool view_follower::peer_has_later_view() const
+{
+    return latest_peer_revision_ > view_.revision() &&
+           clock_.now() - later_view_heard_ <= later_view_retention;
+}
+
 void view_follower::on_peer_changes(const std::vector<stored_item>& changes, bool is_snapshot,
                                     std::uint64_t revision, time_point verified_at, const view_origin& origin)
 {
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -118,9 +118,9 @@
     /// True while a change of the store may have been missing here for longer than the bound.
     [[nodiscard]] bool overdue() const { return complete_ && age() > settings_.max_staleness_; }
 
-    /// False while the view is overdue and the store, as far as this node knows, can be read: it must be read
-    /// before anything is decided by the view. While the store cannot be read, the last view counts.
-    [[nodiscard]] bool usable() const { return !overdue() || !store_reachable_; }
+    /// False while the view is overdue and can be brought up to date, from the store or from a peer: that
+    /// must happen before anything is decided by the view. While neither is possible, the last view counts.
+    [[nodiscard]] bool usable() const { return !overdue() || (!store_reachable_ && !peer_has_later_view()); }
     [[nodiscard]] bool store_reachable() const { return store_reachable_; }
     [[nodiscard]] const follower_counters& counters() const { return counters_; }
 
@@ -140,6 +140,8 @@
     void report_update(std::uint64_t before, duration age_before, std::size_t changes,
                        const view_origin& origin);
     [[nodiscard]] bool leases_may_have_lapsed() const;
+    /// True while a peer that was heard lately has a revision that this view lacks.
+    [[nodiscard]] bool peer_has_later_view() const;
     [[nodiscard]] duration age_before_read() const;
 
     registry_store_port& store_;
@@ -156,8 +158,10 @@
     time_point last_answered_{}; ///< Start of the latest call that the store answered.
     std::size_t rank_ = 0;
     time_point verified_at_{};
-    time_point known_since_{}; ///< When the first node had the view's revision.
-    time_point next_call_{};   ///< Earliest time of the next store call.
+    time_point known_since_{};               ///< When the first node had the view's revision.
+    std::uint64_t latest_peer_revision_ = 0; ///< The latest that a peer stated.
+    time_point later_view_heard_{};          ///< When a peer last stated a later revision than this view's.
+    time_point next_call_{};                 ///< Earliest time of the next store call.
     bool store_reachable_ = true;
     int consecutive_failures_ = 0;
     int consecutive_own_delays_ = 0; ///< Time-outs that say nothing of the store, one after the other.
--- a/tests/core/view_follower_test.cpp
+++ b/tests/core/view_follower_test.cpp
@@ -219,6 +219,32 @@
     CHECK(fixture.follower_.overdue() == (status != store_status::ok));
 }
 
+TEST_CASE("a node that the store refuses does not go by an overdue view while a peer has a later one")
+{
+    follower_fixture fixture;
+    fixture.complete_view();
+    fixture.follower_.set_rank(1);
+    ALLOW_CALL(fixture.store_, changes_since(10U, _, _)).LR_SIDE_EFFECT(fixture.response_callback_ = _3);
+    fixture.clock_.advance(follower_settings{}.max_staleness_ + 1s);
+    fixture.follower_.on_tick();
+    fixture.response_callback_({store_status::unavailable, {}, 0, false});
+    CHECK(fixture.follower_.usable()); // Nobody is known to have a later view.
+    CHECK(fixture.follower_.on_peer_view(11, {}));
+    CHECK_FALSE(fixture.follower_.usable());
+    SECTION("until it has that view")
+    {
+        fixture.follower_.on_peer_changes({upstream("b", 11)}, false, 11, fixture.clock_.now() - 100ms);
+        CHECK(fixture.follower_.usable());
+    }
+    SECTION("until no peer has said so for 2 s: it may be alone, like all nodes in an outage")
+    {
+        fixture.clock_.advance(2s);
+        CHECK_FALSE(fixture.follower_.usable());
+        fixture.clock_.advance(1ms);
+        CHECK(fixture.follower_.usable());
+    }
+}
+
 TEST_CASE("a time-out while the node had no processor time is no outage of the store, unless it happens "
           "again and again")
 {
