View of the store: another node takes over the watch when the store refuses a leader

Callers saw a change come into force late. Cause: which node watches the store followed from liveness and capacity alone.

Change: heartbeats tell whether the store answers a node (a twelfth field of the sender, which older builds ignore). A refused leader is replaced by the next data centre's leader and by one node of its own data centre, found by a few nodes that read the store once; it goes on trying and gets the watch back. A call that is not answered in time counts as refused at once.

--- a/src/core/fleet/duty_assignment.cpp
+++ b/src/core/fleet/duty_assignment.cpp
@@ -13,6 +13,10 @@
 constexpr const char* prober_duty = "probe";
 const std::string sharing_duty = "share ";
 
+/// Nodes that try to read the store at the same time, for each one that is known to be refused. With many
+/// refused ones, the next try must reach one of the few others.
+constexpr std::size_t tries_per_refused_node = 8;
+
 /// Leaves out the nodes that reach no upstream, unless none is left then.
 std::vector<const peer*> reaching_upstreams(std::vector<const peer*> nodes)
 {
@@ -38,11 +42,23 @@
                                         [&](const peer* other) { return other->name_ == self.name_; });
         return static_cast<std::size_t>(found - order.begin());
     };
-    const auto position = position_of(peers_.ranked(self.data_centre_, leader_duty, now));
+    const auto leaders = peers_.ranked(self.data_centre_, leader_duty, now);
+    const auto position = position_of(leaders);
     leads_ = position == 0 && !self.stopping_;
-    const auto own = std::find(data_centres_.begin(), data_centres_.end(), self.data_centre_);
-    store_rank_ =
-        leads_ ? static_cast<std::size_t>(own - data_centres_.begin()) : data_centres_.size() + position;
+    if (leads_) {
+        const auto own = std::find(data_centres_.begin(), data_centres_.end(), self.data_centre_);
+        store_rank_ = static_cast<std::size_t>(
+            std::count_if(data_centres_.begin(), own, [&](const std::string& data_centre) {
+                const auto* leader = peers_.find(leader_of(data_centre, now));
+                return leader == nullptr || leader->store_access_ != store_access::refuses;
+            }));
+        if (self.store_access_ == store_access::refuses) {
+            store_rank_ = 0; // Goes on trying, since others watch in its place until it is answered.
+        }
+    }
+    else {
+        store_rank_ = replaces_refused_leader(leaders) ? 0 : data_centres_.size() + position;
+    }
     probers_.clear();
     const auto order = reaching_upstreams(peers_.ranked(self.data_centre_, prober_duty, now));
     const auto count = order.size() <= small_data_centre_nodes ? order.size() : probers_in_large_data_centre;
@@ -51,6 +67,36 @@
     }
 }
 
+bool duty_assignment::replaces_refused_leader(const std::vector<const peer*>& order) const
+{
+    if (order.empty() || order.front()->store_access_ != store_access::refuses || peers_.self().stopping_) {
+        return false;
+    }
+    const auto answered = std::find_if(order.begin(), order.end(), [](const peer* each) {
+        return each->store_access_ == store_access::answers;
+    });
+    if (answered != order.end()) {
+        return (*answered)->name_ == peers_.self().name_;
+    }
+    const auto refused = std::count_if(order.begin(), order.end(), [](const peer* each) {
+        return each->store_access_ == store_access::refuses;
+    });
+    auto tries_left = static_cast<std::size_t>(refused) * tries_per_refused_node;
+    for (const auto* each : order) {
+        if (each->store_access_ != store_access::unknown) {
+            continue;
+        }
+        if (tries_left == 0) {
+            return false;
+        }
+        --tries_left;
+        if (each->name_ == peers_.self().name_) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string duty_assignment::leader_of(const std::string& data_centre, time_point now) const
 {
     const auto order = peers_.ranked(data_centre, leader_duty, now);
--- a/src/core/fleet/duty_assignment.h
+++ b/src/core/fleet/duty_assignment.h
@@ -6,6 +6,7 @@
 #include "core/fleet/peer_table.h"
 
 #include <string>
+#include <vector>
 
 namespace anvilpost {
 
@@ -17,8 +18,9 @@
     /// Recomputes the duties; to be called when the table may have changed.
     void update(time_point now);
 
-    /// This node's rank among the nodes that read the store when views get old; rank 0 watches it all the
-    /// time. The leaders of the data centres have the first ranks.
+    /// This node's rank among the nodes that read the store when views get old; those of rank 0 watch it all
+    /// the time. The leaders of the data centres have the first ranks, but one that the store refuses is
+    /// replaced: by the next data centre's leader, and by a node of its own data centre.
     [[nodiscard]] std::size_t store_rank() const { return store_rank_; }
 
     /// True when this node is its data centre's leader and relays messages between it and the others.
@@ -53,6 +55,10 @@
     [[nodiscard]] std::string responsible_data_centre(const std::string& upstream,
                                                       const std::string& data_centre) const;
 
+    /// True when this node watches the store because its data centre's leader is refused: the first node of
+    /// `order` that the store answers, or, until there is one, each of the first nodes that have not tried.
+    [[nodiscard]] bool replaces_refused_leader(const std::vector<const peer*>& order) const;
+
     const peer_table& peers_;
     std::size_t store_rank_ = 0;
     bool leads_ = true;
--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -189,6 +189,7 @@
     const auto now = ports_.clock_.now();
     started_ = started_.value_or(now);
     detect_cut_off(now);
+    tell_store_access(now);
     if (now >= next_maintenance_) {
         next_maintenance_ = now + maintenance_period;
         peers_.remove_silent(now);
@@ -231,6 +232,28 @@
     }
 }
 
+/// Another node must take over the watch of the store at once when the store refuses a leader, and the other
+/// nodes must know which of those that try is answered.
+void peer_exchange::tell_store_access(time_point now)
+{
+    const auto access = ports_.follower_.access();
+    if (access == peers_.self().store_access_) {
+        return;
+    }
+    peers_.set_self_store_access(access);
+    next_maintenance_ = now;
+    const auto* leader = peers_.find(duties_.leader_of(peers_.self().data_centre_, now));
+    const bool leader_refused = leader != nullptr && leader->store_access_ == store_access::refuses;
+    if (!duties_.leads() && !leader_refused) {
+        return;
+    }
+    next_leaders_ = now;
+    const auto bytes = encode(make_message(now));
+    for (const auto* local_peer : peers_.reachable_local_peers(now)) {
+        send(*local_peer, bytes);
+    }
+}
+
 void peer_exchange::contact_seeds(time_point now)
 {
     if (now < next_seeds_) {
@@ -516,7 +539,11 @@
             last.unreached_ = {message->unreached_.begin(), message->unreached_.end()};
         }
     }
-    const bool was_known = peers_.find(sender.name_) != nullptr;
+    const auto* known_sender = peers_.find(sender.name_);
+    const bool was_known = known_sender != nullptr;
+    if (was_known && known_sender->store_access_ != sender.store_access_) {
+        next_maintenance_ = now; // The duties may have changed.
+    }
     peers_.record_heartbeat(sender, now);
     for (const auto& known : message->peers_) {
         peers_.record_heartbeat(known.peer_, now - known.age_);
--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -169,6 +169,7 @@
 
     void apply_loads();
     void detect_cut_off(time_point now);
+    void tell_store_access(time_point now);
     void contact_seeds(time_point now);
     void send_to_local_peers(time_point now);
     void send_to_leaders(time_point now);
--- a/src/core/fleet/peer_messages.cpp
+++ b/src/core/fleet/peer_messages.cpp
@@ -33,12 +33,23 @@
     auto value =
         json::array({node.name_, node.incarnation_, node.data_centre_, node.ip_, node.port_,
                      node.control_port_, node.capacity_, node.stopping_, node.caller_port_, node.cut_off_});
-    if (node.capabilities_ != 0) {
+    const bool has_access = node.store_access_ != store_access::unknown;
+    if (node.capabilities_ != 0 || has_access) {
         value.push_back(node.capabilities_);
     }
+    if (has_access) {
+        value.push_back(static_cast<int>(node.store_access_));
+    }
     return value;
 }
 
+/// A value of a later build counts as unknown.
+store_access decode_store_access(const json& value)
+{
+    const auto access = static_cast<store_access>(value.get<std::uint8_t>());
+    return access <= store_access::refuses ? access : store_access::unknown;
+}
+
 peer decode_peer(const json& value)
 {
     peer node{value.at(0).get<std::string>(),   value.at(1).get<std::uint64_t>(),
@@ -55,6 +66,10 @@
     if (value.size() >= fields_with_capabilities) {
         node.capabilities_ = value.at(10).get<std::uint32_t>();
     }
+    constexpr std::size_t fields_with_store_access = 12;
+    if (value.size() >= fields_with_store_access) {
+        node.store_access_ = decode_store_access(value.at(11));
+    }
     return node;
 }
 
--- a/src/core/fleet/peer_table.cpp
+++ b/src/core/fleet/peer_table.cpp
@@ -32,12 +32,14 @@
     const bool stopping = reported.stopping_ || (same_incarnation && known.peer_.stopping_);
     const bool older = same_incarnation && heartbeat_at < known.last_heartbeat_;
     const bool cut_off = older ? known.peer_.cut_off_ : reported.cut_off_;
+    const auto access = older ? known.peer_.store_access_ : reported.store_access_;
     // Nodes of earlier versions report others without their capabilities.
     const auto capabilities = reported.capabilities_ | (same_incarnation ? known.peer_.capabilities_ : 0);
     known.last_heartbeat_ = same_incarnation ? std::max(known.last_heartbeat_, heartbeat_at) : heartbeat_at;
     known.peer_ = reported;
     known.peer_.stopping_ = stopping;
     known.peer_.cut_off_ = cut_off;
+    known.peer_.store_access_ = access;
     known.peer_.capabilities_ = capabilities;
 }
 
--- a/src/core/fleet/peer_table.h
+++ b/src/core/fleet/peer_table.h
@@ -5,10 +5,13 @@
 
 #include "ports/random_port.h"
 #include "vocabulary/core_clock.h"
+#include "vocabulary/enum_names.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace anvilpost {
@@ -19,6 +22,19 @@
     static constexpr std::uint32_t quotas = 2;   ///< Can be the coordinator of quotas.
 };
 
+/// Whether the store answers a node's calls, as far as the node knows; `unknown` when it has not called
+/// lately. The values are part of the wire format.
+enum class store_access : std::uint8_t { unknown, answers, refuses };
+
+template <>
+struct enum_names<store_access> {
+    static constexpr std::array<std::pair<store_access, std::string_view>, 3> table{{
+        {store_access::unknown, "unknown"},
+        {store_access::answers, "answers"},
+        {store_access::refuses, "refuses"},
+    }};
+};
+
 /// What messages say about a node. A VM that replaces another is a new incarnation.
 struct peer {
     std::string name_;
@@ -32,6 +48,7 @@
     std::uint16_t caller_port_ = 0;  ///< For callers; 0 where it is not known.
     bool cut_off_ = false;           ///< Reaches no upstream; the duties that need one go to others.
     std::uint32_t capabilities_ = 0; ///< Bits of `peer_capability`; an incarnation loses none.
+    store_access store_access_ = store_access::unknown;
 
     bool operator==(const peer&) const = default;
 };
@@ -60,6 +77,7 @@
     [[nodiscard]] const peer& self() const { return self_; }
     void set_self_stopping() { self_.stopping_ = true; }
     void set_self_cut_off(bool cut_off) { self_.cut_off_ = cut_off; }
+    void set_self_store_access(store_access access) { self_.store_access_ = access; }
     void set_local_heartbeat_timeout(duration limit) { settings_.local_heartbeat_timeout_ = limit; }
 
     /// Records a heartbeat of a peer at `heartbeat_at`, received directly or reported by another peer. Of two
--- a/src/core/fleet/view_follower.cpp
+++ b/src/core/fleet/view_follower.cpp
@@ -29,6 +29,10 @@
 constexpr duration max_tick_gap = 150ms;
 constexpr int max_own_delays = 3;
 
+/// What a call told of the access to the store counts for this long.
+constexpr duration answer_retention = 3s;
+constexpr duration refusal_retention = 10s;
+
 /// A peer's statement that it has a later view counts for this long. Peers repeat it at least once a second.
 constexpr duration later_view_retention = 2s;
 
@@ -67,6 +71,10 @@
         last_late_tick_ = now;
     }
     last_tick_ = now;
+    if (calls_pending_ > 0 && now >= response_due_ && !response_overdue_) {
+        response_overdue_ = true;
+        last_failure_ = now;
+    }
     if (!may_call()) {
         return;
     }
@@ -75,7 +83,8 @@
         return;
     }
     if (rank_ == 0) {
-        read_changes(settings_.watch_timeout_);
+        // A store that may refuse this node is asked for an answer at once.
+        read_changes(access() == store_access::answers ? settings_.watch_timeout_ : duration{});
     }
     else if (age() > age_before_read()) {
         read_changes({});
@@ -121,6 +130,8 @@
     --calls_pending_;
     const auto now = clock_.now();
     if (status == store_status::ok) {
+        response_overdue_ = false;
+        last_success_ = now;
         consecutive_failures_ = 0;
         consecutive_own_delays_ = 0;
         last_answered_ = std::max(last_answered_, started);
@@ -145,6 +156,7 @@
         outage_began_ = now;
     }
     store_reachable_ = false;
+    last_failure_ = now;
     const auto backoff = std::min(max_backoff, initial_backoff * (1 << std::min(consecutive_failures_, 4)));
     ++consecutive_failures_;
     next_call_ = now + scaled(backoff, 0.5 + random_unit(random_));
@@ -156,6 +168,16 @@
     return status == store_status::unknown && store_reachable_ && (late_now || last_late_tick_ > started);
 }
 
+store_access view_follower::access() const
+{
+    const auto now = clock_.now();
+    if ((!store_reachable_ || response_overdue_) && now - last_failure_ <= refusal_retention) {
+        return store_access::refuses;
+    }
+    const bool answered = last_success_ != time_point{} && now - last_success_ <= answer_retention;
+    return store_reachable_ && answered ? store_access::answers : store_access::unknown;
+}
+
 bool view_follower::leases_may_have_lapsed() const
 {
     return long_outage_ && clock_.now() - outage_ended_ <= settings_.lapse_grace_;
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -4,6 +4,7 @@
 // needs no guarantees of its own.
 #pragma once
 
+#include "core/fleet/peer_table.h"
 #include "core/fleet/store_view.h"
 #include "ports/clock_port.h"
 #include "ports/random_port.h"
@@ -88,7 +89,7 @@
     void on_tick();
     static constexpr duration tick_period = std::chrono::milliseconds(50);
 
-    /// Sets this node's position in the order in which nodes read the store. The node at 0 queries the store
+    /// Sets this node's position in the order in which nodes read the store. Nodes at 0 query the store
     /// continuously; the others read it only when their view gets old, each later one at a greater age.
     void set_rank(std::size_t rank) { rank_ = rank; }
 
@@ -125,6 +126,9 @@
     /// must happen before anything is decided by the view. While neither is possible, the last view counts.
     [[nodiscard]] bool usable() const { return !overdue() || (!store_reachable_ && !peer_has_later_view()); }
     [[nodiscard]] bool store_reachable() const { return store_reachable_; }
+
+    /// Returns what this node's latest calls tell of its access to the store.
+    [[nodiscard]] store_access access() const;
     [[nodiscard]] const follower_counters& counters() const { return counters_; }
 
 private:
@@ -167,6 +171,9 @@
     time_point later_view_heard_{};          ///< When a peer last stated a later revision than this view's.
     time_point next_call_{};                 ///< Earliest time of the next store call.
     bool store_reachable_ = true;
+    bool response_overdue_ = false; ///< The latest call should have been answered by now.
+    time_point last_success_{};     ///< When the store last answered a call.
+    time_point last_failure_{};     ///< When a call last failed or became overdue.
     int consecutive_failures_ = 0;
     int consecutive_own_delays_ = 0; ///< Time-outs that say nothing of the store, one after the other.
     time_point last_tick_{};
--- a/tests/core/view_propagation_test.cpp
+++ b/tests/core/view_propagation_test.cpp
@@ -54,7 +54,9 @@
 {
     const auto played = GENERATE(refusal_case{48, store_treatment::busy, 0.9, 1},
                                  refusal_case{48, store_treatment::reset, 0.9, 2},
-                                 refusal_case{108, store_treatment::busy, 0.9, 3});
+                                 refusal_case{108, store_treatment::busy, 0.9, 3},
+                                 refusal_case{48, store_treatment::silent, 0.9, 4},
+                                 refusal_case{108, store_treatment::silent, 0.9, 5});
     CAPTURE(played);
     view_fleet_settings settings;
     settings.nodes_ = played.nodes_;
@@ -112,6 +114,36 @@
     CHECK(fleet.longest_spread_ <= 500ms);
 }
 
+TEST_CASE("one node of each data centre watches the store while its leader is refused, and then no longer")
+{
+    const auto how = GENERATE(store_treatment::busy, store_treatment::silent);
+    view_fleet fleet({});
+    fleet.run(4s);
+    const auto watching = [&] {
+        std::vector<std::string> found;
+        for (const auto& name : fleet.live_nodes()) {
+            const auto& duties = fleet.node(name).exchange_.duties();
+            if (duties.store_rank() == 0 && fleet.store_.treatment_of(name) == store_treatment::serves) {
+                found.push_back(name);
+            }
+        }
+        return found;
+    };
+    CHECK(watching().size() == 1);
+    fleet.refuse_share(0.8, how);
+    write_for(fleet, 4s);
+    const auto calls_before = fleet.store_.calls_;
+    write_for(fleet, 4s);
+    CHECK(watching().size() >= 1);
+    CHECK(watching().size() <= fleet.settings_.data_centres_);
+    // Three watches that end each 0.15 to 0.6 s, and the retries of three refused leaders.
+    INFO("calls in 4 s: " << fleet.store_.calls_ - calls_before);
+    CHECK(fleet.store_.calls_ - calls_before <= 100);
+    fleet.serve_all();
+    fleet.run(3s);
+    CHECK(watching().size() == 1);
+}
+
 TEST_CASE("no call is decided by a view that lacks a change older than the bound while any node reads the "
           "store")
 {
