--- a/src/core/fleet/peer_exchange.cpp
+++ b/src/core/fleet/peer_exchange.cpp
@@ -539,11 +539,7 @@
             last.unreached_ = {message->unreached_.begin(), message->unreached_.end()};
         }
     }
-    const auto* known_sender = peers_.find(sender.name_);
-    const bool was_known = known_sender != nullptr;
-    if (was_known && known_sender->store_access_ != sender.store_access_) {
-        next_maintenance_ = now; // The duties may have changed.
-    }
+    const bool was_known = peers_.find(sender.name_) != nullptr;
     peers_.record_heartbeat(sender, now);
     for (const auto& known : message->peers_) {
         peers_.record_heartbeat(known.peer_, now - known.age_);
