--- a/tests/core/view_propagation_test.cpp
+++ b/tests/core/view_propagation_test.cpp
@@ -52,11 +52,10 @@
 TEST_CASE("a change is in force on all nodes within half the bound while the store refuses the leaders and "
           "most other nodes")
 {
-    const auto played = GENERATE(refusal_case{48, store_treatment::busy, 0.9, 1},
-                                 refusal_case{48, store_treatment::reset, 0.9, 2},
-                                 refusal_case{108, store_treatment::busy, 0.9, 3},
-                                 refusal_case{48, store_treatment::silent, 0.9, 4},
-                                 refusal_case{108, store_treatment::silent, 0.9, 5});
+    const auto played = GENERATE(
+        refusal_case{48, store_treatment::busy, 0.9, 1}, refusal_case{48, store_treatment::reset, 0.9, 2},
+        refusal_case{108, store_treatment::busy, 0.9, 3}, refusal_case{48, store_treatment::silent, 0.9, 4},
+        refusal_case{108, store_treatment::silent, 0.9, 5});
     CAPTURE(played);
     view_fleet_settings settings;
     settings.nodes_ = played.nodes_;
