Comments: what known_since_ may be off by, and who announces a view

Read as a newcomer would: one comment was a riddle, and the head comment of the exchange did not tell of announcements.

--- a/src/core/fleet/peer_exchange.h
+++ b/src/core/fleet/peer_exchange.h
@@ -1,7 +1,7 @@
 // Gossip between the nodes of the fleet, over datagrams: heartbeats, the age of each node's view of the
 // store, the loads of upstreams, each node's own calls in flight, and strikes against requests that crash
 // upstreams. Nodes of one data centre send to each other directly; between data centres only the leaders
-// relay, since that traffic is billed.
+// relay, since that traffic is billed; a later view of the store is announced by any node that read it.
 #pragma once
 
 #include "core/calls/call_engine.h"
--- a/src/core/fleet/view_follower.h
+++ b/src/core/fleet/view_follower.h
@@ -57,7 +57,8 @@
 /// The peer whose view a node took over.
 struct view_origin {
     std::string peer_;
-    /// When the first node of the fleet had the view's revision, on this node's clock; not later than that.
+    /// When the first node of the fleet had the view's revision, on this node's clock. May be too early by
+    /// the time that the fetch took, never too late.
     time_point known_since_{};
 };
 
