--- a/review/stand_ins_2/harness.cpp
+++ b/review/stand_ins_2/harness.cpp
@@ -464,8 +464,8 @@
                     items += (items.empty() ? "" : ",") + item_json(item);
                 }
             }
-            body = "{\"items\":[" + items + "],\"has_more\":false,\"store_revision\":" +
-                   std::to_string(revision_) + "}";
+            body = "{\"items\":[" + items +
+                   "],\"has_more\":false,\"store_revision\":" + std::to_string(revision_) + "}";
         }
         else if (target.starts_with("/v1/kv-watch")) {
             const auto after = std::strtoull(query(target, "after").c_str(), nullptr, 10);
@@ -501,8 +501,9 @@
         const auto era = era_;
         lock.unlock();
         const bool closes = lower(request->header("connection").value_or("")) == "close";
-        from.write("HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: application/json\r\nStore-Era: " +
-                   std::to_string(era) + (closes ? "\r\nConnection: close" : "") +
+        from.write("HTTP/1.1 " + std::to_string(status) +
+                   " Status\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(era) +
+                   (closes ? "\r\nConnection: close" : "") +
                    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         if (closes) {
             return;
@@ -510,18 +511,20 @@
     }
 }
 
-node::node(std::string name, std::string zone, std::string ip, int front, int ready, int control, int internal,
-           std::vector<address> seeds, address store, std::string folder, std::string bounds, int memory_mb)
+node::node(std::string name, std::string zone, std::string ip, int front, int ready, int control,
+           int internal, std::vector<address> seeds, address store, std::string folder, std::string bounds,
+           int memory_mb)
     : name_(std::move(name)), ip_(ip), front_{ip, front}, ready_{ip, ready}, control_{ip, control},
       memory_mb_(memory_mb), zone_(std::move(zone)), internal_port_(internal), store_(std::move(store)),
       bounds_(std::move(bounds)), settings_path_(folder + "/" + name_ + ".json"),
       log_path_(folder + "/" + name_ + ".log")
 {
     if (bounds_.empty()) {
-        bounds_ = R"("seed_lag_s":3,"reuse_after_s":2,"stable_window_ms":3000,"ack_ms":4000,"catch_up_s":4,)"
-                  R"("drain_ms":2000,"grace_s":6,"loss_slack_ms":200,"config_apply_ms":2000,)"
-                  R"("rollback_slack_ms":250,"max_stretch_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,)"
-                  R"("retry_budget_slack":62,"recover_s":15,"probes_per_s":60)";
+        bounds_ =
+            R"("seed_lag_s":3,"reuse_after_s":2,"stable_window_ms":3000,"ack_ms":4000,"catch_up_s":4,)"
+            R"("drain_ms":2000,"grace_s":6,"loss_slack_ms":200,"config_apply_ms":2000,)"
+            R"("rollback_slack_ms":250,"max_stretch_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,)"
+            R"("retry_budget_slack":62,"recover_s":15,"probes_per_s":60)";
     }
     write_settings(seeds);
 }
@@ -539,10 +542,11 @@
         << "\",\"zone\":\"" << zone_
         << R"(","region":"r","counts_as_fault":false,"bootstrap":true,"data_dir":null,)"
         << R"("limits":{"cpu_share":0.2,"cores":1,"memory_mb":)" << memory_mb_
-        << R"(,"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},"network":{"listen":{"front":")" << front_.text()
-        << "\",\"ready\":\"" << ready_.text() << "\",\"control\":\"" << control_.text()
+        << R"(,"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},"network":{"listen":{"front":")"
+        << front_.text() << "\",\"ready\":\"" << ready_.text() << "\",\"control\":\"" << control_.text()
         << "\"},\"internal_ports\":[" << internal_port_ << "," << internal_port_ + 15 << "],\"seeds\":["
-        << seed_text << R"(],"zones":{"a":"r","b":"r","c":"r"}},"platform":{"discovery":"platform","entry":"vip",)"
+        << seed_text
+        << R"(],"zones":{"a":"r","b":"r","c":"r"}},"platform":{"discovery":"platform","entry":"vip",)"
         << R"("heartbeat_ms":1500,"platform":{"address":")" << store_.text()
         << R"(","form":"kv","writes_per_s":400,"reads_per_s":2000,"history_s":20,"value_bytes":1048576,)"
         << R"("ttl_min_ms":1000}},"terms":{"contracts":["base"],"tolerate":{"machines":2,"zones":0,"regions":0},)"
@@ -575,7 +579,8 @@
     }
     pid_ = child;
     // For run.sh, which ends what is left if the case itself is ended.
-    std::ofstream(settings_path_.substr(0, settings_path_.rfind('/')) + "/pids", std::ios::app) << child << "\n";
+    std::ofstream(settings_path_.substr(0, settings_path_.rfind('/')) + "/pids", std::ios::app)
+        << child << "\n";
 }
 
 void node::kill_process()
@@ -590,7 +595,8 @@
 bool node::is_ready() const
 {
     const auto asked = connect_to(ready_, 0.5);
-    if (!asked || !asked->write("GET /v1/ready HTTP/1.1\r\nHost: " + ready_.text() + "\r\nConnection: close\r\n\r\n")) {
+    if (!asked ||
+        !asked->write("GET /v1/ready HTTP/1.1\r\nHost: " + ready_.text() + "\r\nConnection: close\r\n\r\n")) {
         return false;
     }
     const auto answer = asked->read_message(1, true);
@@ -666,16 +672,18 @@
     for (const auto& [name, value] : more) {
         text += name + ": " + value + "\r\n";
     }
-    return text + "Keep-Alive: timeout=10\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return text + "Keep-Alive: timeout=10\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
 }
 
 client_result send_request(connection& on, const std::string& method, const std::string& host,
-                           const std::string& path, const std::string& id, int deadline_ms, const headers& more,
-                           const std::string& body)
+                           const std::string& path, const std::string& id, int deadline_ms,
+                           const headers& more, const std::string& body)
 {
     client_result result;
     result.connected_ = true;
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAnvilpost-Request-Id: " + id +
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
+                       "\r\nAnvilpost-Request-Id: " + id +
                        "\r\nAnvilpost-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
     for (const auto& [name, value] : more) {
         text += name + ": " + value + "\r\n";
--- a/review/stand_ins_2/harness.h
+++ b/review/stand_ins_2/harness.h
@@ -1,6 +1,6 @@
-// Stand-ins for the review's scripts: the platform's store, workers, clients, and a launcher for the daemon. Each
-// speaks as the users' pages say; a case sets the few behaviours that make up its disruption. Plain sockets and
-// threads, loopback addresses only.
+// Stand-ins for the review's scripts: the platform's store, workers, clients, and a launcher for the daemon.
+// Each speaks as the users' pages say; a case sets the few behaviours that make up its disruption. Plain
+// sockets and threads, loopback addresses only.
 #pragma once
 
 #include <atomic>
