Tests of the adapters share their upstream and the fixture of the call path

Cause: the tests of broken responses need the upstream and the fixture that upstream_pool_test.cpp had for itself.

Change: they are in headers of their own. No test changed.

--- a/tests/adapters/loopback_caller.h
+++ b/tests/adapters/loopback_caller.h
@@ -37,6 +37,20 @@
                 static_cast<ssize_t>(bytes.size()));
     }
 
+    /// Sends any number of bytes, to a server in the same thread.
+    void send_large(const event_loop& loop, const std::string& bytes) const
+    {
+        for (std::size_t sent = 0; sent < bytes.size();) {
+            const auto count = ::send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            REQUIRE((count > 0 || errno == EAGAIN));
+            sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+            event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+        }
+    }
+
+    /// Forgets what `received` has returned.
+    void clear_received() { received_.clear(); }
+
     /// Returns everything received so far.
     const std::string& received()
     {
--- a/tests/adapters/upstream_pool_test.cpp
+++ b/tests/adapters/upstream_pool_test.cpp
@@ -1,105 +1,10 @@
 // Tests of upstream_pool with the real server for callers and the real call engine, over loopback connections
 // in one thread. The test plays the upstream.
-#include "adapters/http/caller_server.h"
-#include "adapters/http/http_fetch.h"
-#include "adapters/loopback_caller.h"
-#include "core/fakes.h"
-
-#include <catch2/catch.hpp>
+#include "adapters/call_path_fixture.h"
 
 using namespace anvilpost;
 using namespace anvilpost::testing;
 
-namespace {
-
-/// An upstream that accepts one connection.
-class test_upstream {
-public:
-    test_upstream() : listener_(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-        REQUIRE(listen(listener_, 1) == 0);
-        evutil_make_socket_nonblocking(listener_);
-    }
-    test_upstream(const test_upstream&) = delete;
-    test_upstream& operator=(const test_upstream&) = delete;
-    ~test_upstream()
-    {
-        close_connection();
-        close(listener_);
-    }
-
-    [[nodiscard]] std::uint16_t port() const { return local_port(listener_); }
-
-    /// Returns whether a request has arrived.
-    bool has_request()
-    {
-        if (connection_ < 0) {
-            connection_ = accept(listener_, nullptr, nullptr);
-        }
-        char byte = 0;
-        return connection_ >= 0 && recv(connection_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
-    }
-
-    void send(const std::string& bytes) const
-    {
-        REQUIRE(::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-                static_cast<ssize_t>(bytes.size()));
-    }
-
-    void close_connection()
-    {
-        if (connection_ >= 0) {
-            close(connection_);
-        }
-        connection_ = -1;
-    }
-
-private:
-    int listener_;
-    int connection_ = -1;
-};
-
-struct call_path_fixture {
-    call_path_fixture()
-    {
-        pool_.connect(engine_, server_, server_);
-        server_.connect(engine_, pool_);
-        configuration config;
-        config.revision_ = 1;
-        auto& service = config.services_["desk"];
-        service.hosts_ = {"desk.example"};
-        service.upstreams_["u1"] = {"127.0.0.1", upstream_.port(), "", "", upstream_state::active};
-        server_.apply(config);
-        engine_.apply(config);
-        run_engine_timers();
-    }
-
-    void run_engine_timers()
-    {
-        engine_.on_wakeup();
-        engine_timer_.start(5ms);
-    }
-
-    test_upstream upstream_;
-    event_loop loop_;
-    steady_clock clock_;
-    split_mix random_;
-    recording_claims claims_;
-    recording_observer observer_;
-    upstream_pool_limits limits_;
-    upstream_pool pool_{loop_, clock_, limits_, {}};
-    organisation_directory organisations_;
-    caller_server server_{loop_, clock_, random_, "127.0.0.1", 0, {}, {}, "entry-1", organisations_};
-    call_engine engine_{{clock_, random_, pool_, server_, claims_, observer_}};
-    timer engine_timer_{loop_, [this] { run_engine_timers(); }};
-};
-
-} // namespace
-
 // A response that has begun is held back for a short time, so that the request can be retried if it breaks
 // off. When the loop is late, the end of that time and the close of the connection are handled one right
 // after the other.
