A response that broke off is no longer passed on as complete when the reset is seen while writing

Cause: the pool kept "the attempt has ended" and "the response is whole" in one flag. The end of a failed attempt is reported after the round of events. When the event loop handles the error of writing first, that sets the flag, and the read event of the same round then finds it set and passes on what has arrived, with its length. Linux reports the error of a socket once, so that read event sees an orderly close. On a connection that was used before, the write event always comes first; hence the failure was rare under load and absent alone. The flag had the same effect for responses with a length or in chunks.

Change: the attempt has a state of three values, and nothing is read from one that has ended. cancel() no longer keeps the connection of a failed attempt.

Evidence: the tests bring about the order of events by using the connection twice. The tests of sound responses (orderly close, also after an upload; 204; rare statuses; bytes above 127 and folded values), each delivered at once, byte by byte and with pauses, passed before and pass now.

--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -236,7 +236,7 @@
         return;
     }
     if (auto* current = find(from.attempt_)) {
-        read_response(*current, false);
+        receive_response(*current, false);
     }
 }
 
@@ -272,21 +272,27 @@
     if (current == nullptr) {
         return;
     }
-    counters_.connect_failures_ += from.connected_ ? 0 : 1;
-    const bool closed_by_peer = (what & BEV_EVENT_EOF) != 0 && from.connected_;
-    if (closed_by_peer) {
-        read_response(*current, true);
+    if (!from.connected_) {
+        ++counters_.connect_failures_;
+        fail(from.attempt_);
+        return;
+    }
+    if ((what & BEV_EVENT_EOF) != 0) {
+        receive_response(*current, true);
         return;
     }
     fail(from.attempt_);
 }
 
 /// Parses the available bytes of the response. May fail the attempt or schedule its end.
-void upstream_pool::read_response(attempt& current, bool peer_closed)
+void upstream_pool::receive_response(attempt& current, bool peer_closed)
 {
+    if (current.state_ != response_state::receiving) {
+        return; // Its end is reported after this round of events.
+    }
     const attempt_id id = current.order_.attempt_;
     evbuffer* input = bufferevent_get_input(current.connection_->stream_.get());
-    while (!current.complete_) {
+    while (true) {
         auto outcome = current.reader_->feed(input);
         if (outcome == read_status::more && peer_closed) {
             outcome = current.reader_->started() ? current.reader_->on_end() : read_status::malformed;
@@ -307,12 +313,15 @@
             fail(id);
             return;
         }
-        current.complete_ = outcome == read_status::complete;
+        if (outcome == read_status::complete) {
+            current.state_ = response_state::complete;
+        }
         break;
     }
     forward_response_when_due(current);
     auto* remaining = find(id);
-    if (remaining != nullptr && remaining->forwarding_started_ && remaining->complete_) {
+    if (remaining != nullptr && remaining->forwarding_started_ &&
+        remaining->state_ == response_state::complete) {
         sink_->on_body_end(remaining->order_.call_);
         loop_.defer([this, id] { report_end(id, attempt_outcome::complete); });
     }
@@ -349,7 +358,7 @@
     }
     const auto echoed = find_header(current.reader_->head().headers_, names_.request_id_);
     const bool foreign = names_.responses_echo_ids_ && echoed && *echoed != current.request_id_;
-    if (current.complete_ ||
+    if (current.state_ == response_state::complete ||
         (!foreign && current.reader_->body_bytes_seen() >=
                          std::min(limits_.max_held_response_bytes_, sink_->body_limit()))) {
         forward_response(current);
@@ -403,7 +412,8 @@
     }
     evbuffer* body = current.reader_->body();
     // A connection whose response is complete must go on reading: it will be used again.
-    if (evbuffer_get_length(body) > 0 && !sink_->on_body(current.order_.call_, body) && !current.complete_) {
+    if (evbuffer_get_length(body) > 0 && !sink_->on_body(current.order_.call_, body) &&
+        current.state_ == response_state::receiving) {
         pause(id);
     }
 }
@@ -411,10 +421,10 @@
 void upstream_pool::fail(attempt_id id)
 {
     auto* failed = find(id);
-    if (failed == nullptr || failed->complete_) {
+    if (failed == nullptr || failed->state_ != response_state::receiving) {
         return;
     }
-    failed->complete_ = true;
+    failed->state_ = response_state::failed;
     if (failed->hold_timer_) {
         // It may be due in this round of events, before the end is reported, and would forward what arrived.
         failed->hold_timer_->stop();
@@ -451,7 +461,7 @@
     std::shared_ptr<attempt> cancelled = std::move(found->second);
     attempts_.erase(found);
     cancelled->connection_->attempt_ = attempt_id{};
-    if (cancelled->complete_ && cancelled->forwarding_started_) {
+    if (cancelled->state_ == response_state::complete && cancelled->forwarding_started_) {
         // The response arrived completely and is merely not needed; the connection can be reused.
         loop_.defer([this, cancelled] {
             keep_or_close_connection(std::move(cancelled->connection_), &cancelled->reader_->head(),
@@ -489,7 +499,7 @@
 std::optional<std::uint64_t> upstream_pool::response_length(attempt_id id) const
 {
     const auto& current = *attempts_.at(id);
-    if (current.complete_ && !current.head_request_) {
+    if (current.state_ == response_state::complete && !current.head_request_) {
         return evbuffer_get_length(current.reader_->body());
     }
     const auto framed = parse_framing(current.reader_->head().headers_);
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -99,6 +99,12 @@
     };
     using connection_ptr = std::unique_ptr<connection>;
 
+    enum class response_state {
+        receiving,
+        complete, ///< The whole response has been read.
+        failed    ///< Nothing that was or will be read of it is passed on.
+    };
+
     struct attempt {
         attempt_order order_;
         std::string request_id_{};
@@ -108,7 +114,7 @@
         bool head_request_ = false;
         bool on_new_connection_ = false;
         bool forwarding_started_ = false; ///< The engine was told of the response; the body is forwarded.
-        bool complete_ = false;
+        response_state state_ = response_state::receiving;
         bool paused_ = false;
     };
 
@@ -126,7 +132,7 @@
 
     /// True when the socket is connected although libevent reported a connect timeout.
     static bool connected_despite_timeout(const connection& from);
-    void read_response(attempt& current, bool peer_closed);
+    void receive_response(attempt& current, bool peer_closed);
     bool skip_message(attempt& current);
     void forward_response_when_due(attempt& current);
     void forward_response(attempt& current);
