A response that ends with its connection is whole only once its request has been received

Cause: an orderly close was the only proof that such a response is whole. The system of a process that ends sends one, too, when the process has read all that had arrived, and resets the connection only when more of the upload arrives. After the close Linux reports that reset to writers only, so a reader never learns of it.

Change: response_end.h decides when a response is whole. A close counts once the peer has acknowledged the whole request (SIOCOUTQ) and the socket has no error; until then the pool checks again each 5 ms, up to the call's deadline. After an ordinary request that is so at once. Waiting for it was preferred to a failure at the close, since an upstream may close its side and read the rest.

Evidence: on the test with a reset failed for an upload that the node was still writing and for one that was in its socket's buffer (2 of 2), and an upload whose response had ended was broken off; now both tests pass.

--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -18,6 +18,9 @@
 constexpr duration sweep_period = std::chrono::milliseconds(500);
 constexpr int first_final_status = 200;
 
+/// Time between two checks whether a response that ended with its connection is whole.
+constexpr duration end_check_period = std::chrono::milliseconds(5);
+
 /// Share of the idle timeout announced by an upstream (Keep-Alive header) during which a connection is
 /// reused. Later, a request could be sent just as the upstream closes the connection.
 constexpr double usable_idle_timeout_share = 0.7;
@@ -236,7 +239,7 @@
         return;
     }
     if (auto* current = find(from.attempt_)) {
-        receive_response(*current, false);
+        receive_response(*current, receive_state::open);
     }
 }
 
@@ -277,26 +280,19 @@
         fail(from.attempt_);
         return;
     }
-    if ((what & BEV_EVENT_EOF) != 0) {
-        receive_response(*current, true);
-        return;
-    }
-    fail(from.attempt_);
+    receive_response(*current, (what & BEV_EVENT_EOF) != 0 ? receive_state::closed : receive_state::reset);
 }
 
 /// Parses the available bytes of the response. May fail the attempt or schedule its end.
-void upstream_pool::receive_response(attempt& current, bool peer_closed)
+void upstream_pool::receive_response(attempt& current, receive_state from_upstream)
 {
     if (current.state_ != response_state::receiving) {
         return; // Its end is reported after this round of events.
     }
     const attempt_id id = current.order_.attempt_;
-    evbuffer* input = bufferevent_get_input(current.connection_->stream_.get());
     while (true) {
-        auto outcome = current.reader_->feed(input);
-        if (outcome == read_status::more && peer_closed) {
-            outcome = current.reader_->started() ? current.reader_->on_end() : read_status::malformed;
-        }
+        const auto outcome =
+            read_response(*current.reader_, current.connection_->stream_.get(), from_upstream);
         if (outcome == read_status::malformed || outcome == read_status::head_too_large) {
             counters_.unreadable_responses_ += current.reader_->started() ? 1 : 0;
             fail(id);
@@ -316,6 +312,9 @@
         if (outcome == read_status::complete) {
             current.state_ = response_state::complete;
         }
+        else if (from_upstream == receive_state::closed) {
+            check_end_later(current);
+        }
         break;
     }
     forward_response_when_due(current);
@@ -327,6 +326,19 @@
     }
 }
 
+/// The upstream has closed its side during the upload.
+void upstream_pool::check_end_later(attempt& current)
+{
+    if (!current.end_timer_) {
+        current.end_timer_ = std::make_unique<timer>(loop_, [this, id = current.order_.attempt_] {
+            if (auto* open = find(id)) {
+                receive_response(*open, receive_state::closed);
+            }
+        });
+    }
+    current.end_timer_->start(end_check_period);
+}
+
 /// Skips the current message if it is not this request's final response: an interim response (RFC 9110,
 /// section 15.2) or the response to another request. Returns true when it was skipped.
 bool upstream_pool::skip_message(attempt& current)
--- a/src/adapters/http/upstream_pool.h
+++ b/src/adapters/http/upstream_pool.h
@@ -7,6 +7,7 @@
 #include "adapters/event/event_loop.h"
 #include "adapters/http/header_names.h"
 #include "adapters/http/message_reader.h"
+#include "adapters/http/response_end.h"
 #include "adapters/http/response_sink.h"
 #include "core/calls/call_engine.h"
 #include "ports/upstream_port.h"
@@ -111,6 +112,8 @@
         connection_ptr connection_{};
         std::unique_ptr<message_reader> reader_{};
         std::unique_ptr<timer> hold_timer_{};
+        /// Runs while it is not known whether a response that ended with its connection is whole.
+        std::unique_ptr<timer> end_timer_{};
         bool head_request_ = false;
         bool on_new_connection_ = false;
         bool forwarding_started_ = false; ///< The engine was told of the response; the body is forwarded.
@@ -132,7 +135,8 @@
 
     /// True when the socket is connected although libevent reported a connect timeout.
     static bool connected_despite_timeout(const connection& from);
-    void receive_response(attempt& current, bool peer_closed);
+    void receive_response(attempt& current, receive_state from_upstream);
+    void check_end_later(attempt& current);
     bool skip_message(attempt& current);
     void forward_response_when_due(attempt& current);
     void forward_response(attempt& current);
--- a/tests/adapters/broken_response_test.cpp
+++ b/tests/adapters/broken_response_test.cpp
@@ -149,6 +149,42 @@
     check_refused(fixture, caller);
 }
 
+// A process that ends closes its connections in an orderly way if it has read all that had arrived, and its
+// system resets them when more arrives.
+TEST_CASE("a response that ends with its connection is not whole if a reset follows during the upload")
+{
+    const std::size_t upload_bytes = GENERATE(large_upload_bytes, buffered_upload_bytes);
+    call_path_fixture fixture(close_delimited_allowed(), long_hold());
+    test_caller caller(fixture.server_.port());
+    caller.send_large(fixture.loop_, upload_of(upload_bytes));
+    REQUIRE(run_loop_until(fixture.loop_, [&] { return fixture.upstream_.has_request(); }));
+    fixture.upstream_.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(7000, 'x'));
+    fixture.upstream_.shut_down_sending();
+    run_loop(fixture.loop_, 20ms);
+    INFO(caller.received().substr(0, 200));
+    CHECK(caller.received().empty());
+    fixture.upstream_.reset_connection();
+    check_refused(fixture, caller);
+}
+
+TEST_CASE("a response that ends with its connection during the upload is whole once the upload is read")
+{
+    call_path_fixture fixture(close_delimited_allowed());
+    test_caller caller(fixture.server_.port());
+    start_large_upload(fixture, caller);
+    fixture.upstream_.send("HTTP/1.1 413 Content Too Large\r\n\r\n" + std::string(7000, 'x'));
+    fixture.upstream_.shut_down_sending();
+    std::size_t read = 0;
+    REQUIRE(run_loop_until(fixture.loop_, [&] {
+        read += fixture.upstream_.discard_input();
+        return read > large_upload_bytes;
+    }));
+    const auto received = parse_received(wait_for_end(fixture, caller));
+    CHECK(received.complete_);
+    CHECK(received.status_ == 413);
+    CHECK(received.body_ == std::string(7000, 'x'));
+}
+
 TEST_CASE("a sound response reaches the caller whole, however it is framed and however its bytes arrive")
 {
     const std::string framing =
