A response that has arrived whole is passed on although its connection was reset

What callers saw: a worker that refused a long upload with a response of known length and closed its connection without reading the rest, which resets it: the caller got 502, or a part of the refusal.

Cause: the pool gave an attempt up at the error of writing, with bytes of the response unread in its input or in the socket, which keeps what arrived before the reset.

Change: on an error of an established connection the pool first reads what has arrived, at most the bytes that it reads ahead of a slow caller. Only the response's own framing can then say that it is whole; one that is delimited by the close of its connection has failed.

--- a/src/adapters/http/response_end.cpp
+++ b/src/adapters/http/response_end.cpp
@@ -30,6 +30,17 @@
 
 } // namespace
 
+void receive_remaining_input(bufferevent* stream, std::size_t max_bytes)
+{
+    evbuffer* input = bufferevent_get_input(stream);
+    // A bufferevent lets only its own read event append to its input.
+    evbuffer_unfreeze(input, 0);
+    while (evbuffer_get_length(input) < max_bytes &&
+           evbuffer_read(input, bufferevent_getfd(stream), -1) > 0) {
+    }
+    evbuffer_freeze(input, 0);
+}
+
 read_status read_response(message_reader& reader, bufferevent* stream, receive_state state)
 {
     const auto outcome = reader.feed(bufferevent_get_input(stream));
--- a/src/adapters/http/response_end.h
+++ b/src/adapters/http/response_end.h
@@ -12,6 +12,10 @@
     reset,  ///< It has failed; bytes may be missing.
 };
 
+/// Reads what arrived before a connection failed, up to `max_bytes`, into the stream's input buffer. An error
+/// of writing is reported even while input is left to read.
+void receive_remaining_input(bufferevent* stream, std::size_t max_bytes);
+
 /// Feeds the stream's input to the reader. Returns `complete` only when the response is known to be whole:
 /// its own framing says so, or it is delimited by the close of its connection, that was an orderly one, and
 /// the peer has received the whole request. While it has not, a reset may still follow, and the result is
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -280,7 +280,13 @@
         fail(from.attempt_);
         return;
     }
-    receive_response(*current, (what & BEV_EVENT_EOF) != 0 ? receive_state::closed : receive_state::reset);
+    if ((what & BEV_EVENT_EOF) != 0) {
+        receive_response(*current, receive_state::closed);
+        return;
+    }
+    // An upstream that refuses an upload may send its response and reset the connection.
+    receive_remaining_input(from.stream_.get(), limits_.response_high_water_);
+    receive_response(*current, receive_state::reset);
 }
 
 /// Parses the available bytes of the response. May fail the attempt or schedule its end.
--- a/tests/adapters/broken_response_test.cpp
+++ b/tests/adapters/broken_response_test.cpp
@@ -185,6 +185,33 @@
     CHECK(received.body_ == std::string(7000, 'x'));
 }
 
+// An upstream that refuses an upload may close its connection with unread input, which resets it.
+TEST_CASE("an early refusal of an upload with its length is passed on although the connection is reset")
+{
+    const std::string framed =
+        GENERATE(as<std::string>{}, "Content-Length: 9000\r\n\r\n" + std::string(9000, 'x'),
+                 "Transfer-Encoding: chunked\r\n\r\n2328\r\n" + std::string(9000, 'x') + "\r\n0\r\n\r\n");
+    const bool on_used_connection = GENERATE(false, true);
+    const bool read_before_reset = GENERATE(false, true);
+    call_path_fixture fixture;
+    test_caller caller(fixture.server_.port());
+    if (on_used_connection) {
+        use_connection_once(fixture, caller);
+    }
+    start_large_upload(fixture, caller);
+    fixture.upstream_.send("HTTP/1.1 413 Content Too Large\r\n" + framed);
+    if (read_before_reset) {
+        run_loop(fixture.loop_, 5ms);
+    }
+    fixture.upstream_.close_connection();
+    const auto received = parse_received(wait_for_end(fixture, caller));
+    CHECK(received.complete_);
+    CHECK(received.status_ == 413);
+    CHECK(received.body_ == std::string(9000, 'x'));
+    CHECK_FALSE(
+        fixture.pool_.has_idle_connection("127.0.0.1", fixture.upstream_.port(), connection_need::any));
+}
+
 TEST_CASE("a sound response reaches the caller whole, however it is framed and however its bytes arrive")
 {
     const std::string framing =
