A response whose status is no HTTP status is malformed

What callers saw: the head "HTTP/1.1 0 Odd" and up to the whole body of a response with the status 000, when its body ended later than the 25 ms for which the pool holds a response back; a 600 or 999 however it came. A probe took a 000 for an interim response, and what followed it for the answer.

Cause: the parser accepts any three digits, and nothing after it looked at the range. A status below 200 was dropped as an interim response once it was whole, which hid the fault where the body came at once.

Change: message_reader refuses statuses outside of 100 to 599 (RFC 9110, section 15), as soon as the status line has been read, for all that read with it. The attempt counts as broken: 502, a failure of the upstream.

Evidence: on 26 of 50 cases failed (000, 001, 099, 600 and 999, with and without a length, at once, byte by byte, with a pause in the head, and with pauses before and after the 25 ms): 6 of 30 below 100, each with the long pause, and 20 of 20 above 599; now none.

--- a/src/adapters/http/message_reader.cpp
+++ b/src/adapters/http/message_reader.cpp
@@ -15,6 +15,10 @@
 
 constexpr int http_1_1 = 11; // Beast encodes a version as 10 * major + minor.
 
+/// Range of the status codes of HTTP (RFC 9110, section 15).
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 } // namespace
 
 /// Common interface of the parsers for requests and responses, which are different types in Beast.
@@ -59,8 +63,12 @@
         owner_.head_.http_1_1_ = version >= http_1_1;
     }
 
-    void on_response_impl(int status, string_view reason, int version, error_code&) override
+    void on_response_impl(int status, string_view reason, int version, error_code& error) override
     {
+        if (status < min_status || status > max_status) {
+            error = http::error::bad_status;
+            return;
+        }
         owner_.head_.status_ = status;
         owner_.head_.reason_ = std::string(reason);
         owner_.head_.http_1_1_ = version >= http_1_1;
--- a/tests/adapters/broken_response_test.cpp
+++ b/tests/adapters/broken_response_test.cpp
@@ -212,6 +212,18 @@
         fixture.pool_.has_idle_connection("127.0.0.1", fixture.upstream_.port(), connection_need::any));
 }
 
+TEST_CASE("a response whose status is no HTTP status does not reach the caller")
+{
+    const std::string status = GENERATE("000", "001", "099", "600", "999");
+    const std::string framing = GENERATE("\r\n", "Content-Length: 30\r\n\r\n");
+    const auto how = each_delivery();
+    INFO(status << " " << framing << " " << static_cast<int>(how));
+    call_path_fixture fixture(close_delimited_allowed());
+    test_caller caller(fixture.server_.port());
+    answer_with(fixture, caller, "HTTP/1.1 " + status + " Odd\r\n" + framing + std::string(30, 'x'), how);
+    check_refused(fixture, caller);
+}
+
 TEST_CASE("a sound response reaches the caller whole, however it is framed and however its bytes arrive")
 {
     const std::string framing =
