Tests that a malformed field in the head of a response is refused

The tests stay: a blank, tab, control byte, NUL, DEL or byte above 127 in a name, no name, no colon, a blank before the colon (also of Content-Length and Transfer-Encoding), and a control byte, NUL or a bare line feed in a value.

--- a/tests/adapters/broken_response_test.cpp
+++ b/tests/adapters/broken_response_test.cpp
@@ -224,6 +224,22 @@
     check_refused(fixture, caller);
 }
 
+TEST_CASE("a response with a malformed field in its head does not reach the caller")
+{
+    const auto field = GENERATE(as<std::string>{}, "X Y: 1", "X\tY: 1", "X\x01Y: 1",
+                                std::string("X\0Y: 1", 6), "X\x7fY: 1", "X\xe4Y: 1", ": 1", "no colon",
+                                "X-Field : 1", "Content-Length : 30", "Transfer-Encoding : chunked",
+                                "X-Field: a\x01z", std::string("X-Field: a\0z", 12), "X-Field: a\nz: b");
+    const std::string framing = GENERATE("\r\n", "Content-Length: 30\r\n\r\n");
+    const auto how = each_delivery();
+    INFO(field << " " << framing << " " << static_cast<int>(how));
+    call_path_fixture fixture(close_delimited_allowed());
+    test_caller caller(fixture.server_.port());
+    answer_with(fixture, caller, "HTTP/1.1 200 OK\r\n" + field + "\r\n" + framing + std::string(30, 'x'),
+                how);
+    check_refused(fixture, caller);
+}
+
 TEST_CASE("a sound response reaches the caller whole, however it is framed and however its bytes arrive")
 {
     const std::string framing =
