A response with a transfer coding that the node cannot decode is malformed

What callers saw: a body that was not the worker's: a response with "Transfer-Encoding: gzip", or gzip beside chunked or a length, was passed on with its bytes still coded and without the field that said so.

Cause: the parser leaves codings other than chunked to its user, and the field is a hop-by-hop one, which is not passed on.

Change: message_reader refuses a response whose transfer coding is not exactly chunked (RFC 9112, section 6.1). Requests have been checked by parse_framing.

--- a/src/adapters/http/message_reader.cpp
+++ b/src/adapters/http/message_reader.cpp
@@ -74,8 +74,15 @@
         owner_.head_.http_1_1_ = version >= http_1_1;
     }
 
-    void on_field_impl(http::field, string_view name, string_view value, error_code&) override
+    void on_field_impl(http::field field, string_view name, string_view value, error_code& error) override
     {
+        // The body of a response is passed on without its transfer coding. Requests are validated by their
+        // receiver, which answers with a reason.
+        if (!is_request && field == http::field::transfer_encoding &&
+            !boost::beast::iequals(value, "chunked")) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         // Fields after the body are trailers; they are dropped, as RFC 9110, section 6.5.1, allows.
         if (!owner_.head_complete_) {
             owner_.head_.headers_.emplace_back(std::string(name), std::string(value));
--- a/tests/adapters/broken_response_test.cpp
+++ b/tests/adapters/broken_response_test.cpp
@@ -240,6 +240,23 @@
     check_refused(fixture, caller);
 }
 
+// The node passes bodies on without their transfer coding, so it must know how to remove it.
+TEST_CASE("a response with a transfer coding that the node cannot decode does not reach the caller")
+{
+    const std::string framing =
+        GENERATE("Transfer-Encoding: gzip\r\n\r\n", "Transfer-Encoding: gzip, chunked\r\n\r\n1e\r\n",
+                 "Transfer-Encoding: chunked, gzip\r\n\r\n",
+                 "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n1e\r\n",
+                 "Transfer-Encoding: gzip\r\nContent-Length: 30\r\n\r\n");
+    const auto how = each_delivery();
+    INFO(framing << " " << static_cast<int>(how));
+    call_path_fixture fixture(close_delimited_allowed());
+    test_caller caller(fixture.server_.port());
+    const std::string end = framing.ends_with("1e\r\n") ? "\r\n0\r\n\r\n" : "";
+    answer_with(fixture, caller, "HTTP/1.1 200 OK\r\n" + framing + std::string(30, 'x') + end, how);
+    check_refused(fixture, caller);
+}
+
 TEST_CASE("a sound response reaches the caller whole, however it is framed and however its bytes arrive")
 {
     const std::string framing =
