Responses of the store, other nodes and probes of fleet_member are read by the same parser as upstreams'

What was seen: the client for the platform's store, Consul, the VM list, views and burn counts of other nodes, probes of fleet_member and the command-line tool took "Store Era: 3" and "Store-Era : 3" for a response without an epoch, "Content-Length : 4" for one without a length, and "200abc", "20" or "-20" for statuses; it cut values at a NUL, took a gzip body for the document, and of two lengths the first. A refusal of an upload that was not read to its end was lost.

Change: http_fetch reads with message_reader and response_end.h; a response that is not whole or malformed is the result of status 0 that its users have for a lost one. Interim responses are skipped, which evhttp did only for 100. A close before the server has acknowledged the request counts as a failure; no user of it needs more.

Ruled out: to check evhttp's result afterwards, since names cut at a NUL and a second length are not visible there.

Evidence: on 65 of 120 cases of "is not whole or is no HTTP response" and both of "a refusal with its length" failed, now none. Sound responses (three framings, behind an interim one, status 226, bytes above 127, in 5 ways of delivery; 204), limits and times passed before and pass now.

--- a/src/adapters/http/http_fetch.cpp
+++ b/src/adapters/http/http_fetch.cpp
@@ -1,123 +1,192 @@
-// Implementation of the HTTP client with one evhttp client connection per request, and of address
-// parsing.
+// Implementation of the HTTP client with one connection per request, and of address parsing.
 #include "adapters/http/http_fetch.h"
 
+#include "adapters/http/response_end.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <memory>
 
 namespace anvilpost {
 namespace {
 
+constexpr std::size_t max_head_bytes = 64UL * 1024;
+constexpr int first_final_status = 200;
+
 /// State of one request; deletes itself after the callback, or is deleted when the loop is destroyed.
-struct pending_fetch {
+class pending_fetch {
+public:
+    pending_fetch(event_loop& loop, const fetch_request& request,
+                  std::function<void(const fetch_result&)> done);
+    pending_fetch(const pending_fetch&) = delete;
+    pending_fetch& operator=(const pending_fetch&) = delete;
+
+    void start(const fetch_request& request);
+
+private:
+    void on_event(short what);
+    void read(receive_state from_server);
+    [[nodiscard]] bool over_limit() const;
+    [[nodiscard]] fetch_result read_result() const;
+    void finish(const fetch_result& result);
+
     event_loop& loop_;
     std::function<void(const fetch_result&)> done_;
-    evhttp_connection* connection_ = nullptr;
-    std::unique_ptr<timer> deadline_;
+    std::size_t max_body_bytes_;
+    std::unique_ptr<bufferevent, bufferevent_deleter> stream_;
+    std::unique_ptr<message_reader> reader_;
+    timer deadline_;
+    bool connected_ = false;
     bool sent_ = false;
     bool finished_ = false;
     event_loop::cleanup_id cleanup_;
 };
 
-evhttp_cmd_type to_evhttp_method(const std::string& method)
+std::unique_ptr<message_reader> make_reader()
 {
-    if (method == "PUT") {
-        return EVHTTP_REQ_PUT;
+    return std::make_unique<message_reader>(message_side::response, max_head_bytes);
+}
+
+std::string request_head(const fetch_request& request)
+{
+    std::string head = request.method_ + " " + request.target_ + " HTTP/1.1\r\n";
+    const auto add = [&head](const std::string& name, const std::string& value) {
+        head += name + ": " + value + "\r\n";
+    };
+    add("Host", request.host_.empty() ? request.ip_ + ":" + std::to_string(request.port_) : request.host_);
+    add("Connection", "close");
+    for (const auto& [name, value] : request.headers_) {
+        add(name, value);
     }
-    if (method == "POST") {
-        return EVHTTP_REQ_POST;
+    if (!request.body_.empty() || request.method_ == "PUT" || request.method_ == "POST") {
+        add("Content-Length", std::to_string(request.body_.size()));
     }
-    if (method == "DELETE") {
-        return EVHTTP_REQ_DELETE;
+    return head + "\r\n";
+}
+
+pending_fetch::pending_fetch(event_loop& loop, const fetch_request& request,
+                             std::function<void(const fetch_result&)> done)
+    : loop_(loop), done_(std::move(done)), max_body_bytes_(request.max_body_bytes_),
+      stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)), reader_(make_reader()),
+      deadline_(loop,
+                [this] {
+                    finish({0, sent_, {}, {}});
+                }),
+      cleanup_(loop.add_cleanup([this] { delete this; }))
+{
+    bufferevent_setcb(
+        stream_.get(),
+        [](bufferevent*, void* arg) { static_cast<pending_fetch*>(arg)->read(receive_state::open); }, nullptr,
+        [](bufferevent*, short what, void* arg) { static_cast<pending_fetch*>(arg)->on_event(what); }, this);
+    evbuffer_add_cb(
+        bufferevent_get_output(stream_.get()),
+        [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
+            auto* owner = static_cast<pending_fetch*>(arg);
+            owner->sent_ = owner->sent_ || info->n_deleted > 0;
+        },
+        this);
+    deadline_.start(request.timeout_);
+}
+
+void pending_fetch::start(const fetch_request& request)
+{
+    const std::string head = request_head(request);
+    bufferevent_write(stream_.get(), head.data(), head.size());
+    bufferevent_write(stream_.get(), request.body_.data(), request.body_.size());
+    sockaddr_storage address{};
+    const int length = to_socket_address(request.ip_, request.port_, address);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    if (length == 0 ||
+        bufferevent_socket_connect(stream_.get(), reinterpret_cast<sockaddr*>(&address), length) != 0) {
+        finish({});
     }
-    return EVHTTP_REQ_GET;
 }
 
-void finish(pending_fetch* pending, const fetch_result& result)
+void pending_fetch::on_event(short what)
 {
-    if (pending->finished_) {
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        connected_ = true;
         return;
     }
-    pending->finished_ = true;
-    pending->loop_.defer([pending, result] {
-        const std::unique_ptr<pending_fetch> owned(pending);
-        owned->loop_.remove_cleanup(owned->cleanup_);
-        evhttp_connection_free(owned->connection_);
-        owned->done_(result);
-    });
+    if (!connected_) {
+        finish({});
+        return;
+    }
+    const auto from_server = (what & BEV_EVENT_EOF) != 0 ? receive_state::closed : receive_state::reset;
+    if (from_server == receive_state::reset) {
+        receive_remaining_input(stream_.get(), max_head_bytes + max_body_bytes_);
+    }
+    read(from_server);
+    if (!finished_) {
+        finish({0, sent_, {}, {}}); // The server has closed its side before it has read the request.
+    }
+}
+
+void pending_fetch::read(receive_state from_server)
+{
+    while (!finished_) {
+        const auto outcome = read_response(*reader_, stream_.get(), from_server);
+        const bool failed = outcome == read_status::malformed || outcome == read_status::head_too_large;
+        if (failed || over_limit()) {
+            finish({0, sent_, {}, {}});
+        }
+        else if (outcome == read_status::more) {
+            return;
+        }
+        else if (reader_->head().status_ < first_final_status) {
+            reader_ = make_reader(); // An interim response (RFC 9110, section 15.2).
+        }
+        else {
+            finish(read_result());
+        }
+    }
+}
+
+bool pending_fetch::over_limit() const
+{
+    const auto framed = parse_framing(reader_->head().headers_);
+    const auto announced = framed ? framed->content_length_.value_or(0) : 0;
+    return std::max<std::uint64_t>(announced, reader_->body_bytes_seen()) > max_body_bytes_;
 }
 
-fetch_result read_result(evhttp_request* request, const pending_fetch& pending)
+fetch_result pending_fetch::read_result() const
 {
-    fetch_result result;
-    result.sent_ = pending.sent_;
-    if (request == nullptr) {
-        return result;
-    }
-    result.status_ = evhttp_request_get_response_code(request);
-    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-    for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
-        std::string name = header->key;
+    fetch_result result{reader_->head().status_, sent_, {}, {}};
+    for (const auto& [header, value] : reader_->head().headers_) {
+        std::string name = header;
         std::transform(name.begin(), name.end(), name.begin(),
                        [](unsigned char c) { return std::tolower(c); });
-        result.headers_[name] = header->value;
+        result.headers_[name] = value;
     }
-    evbuffer* body = evhttp_request_get_input_buffer(request);
-    result.body_.resize(evbuffer_get_length(body));
-    evbuffer_copyout(body, result.body_.data(), result.body_.size());
+    result.body_.resize(reader_->body_bytes_seen());
+    evbuffer_copyout(reader_->body(), result.body_.data(), result.body_.size());
     return result;
 }
 
-void on_output_change(evbuffer*, const evbuffer_cb_info* info, void* arg)
+void pending_fetch::finish(const fetch_result& result)
 {
-    if (info->n_deleted > 0) {
-        static_cast<pending_fetch*>(arg)->sent_ = true;
+    if (finished_) {
+        return;
     }
+    finished_ = true;
+    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+    loop_.defer([this, result] {
+        loop_.remove_cleanup(cleanup_);
+        const std::unique_ptr<pending_fetch> owned(this);
+        stream_.reset();
+        done_(result);
+    });
 }
 
 } // namespace
 
 void fetch(event_loop& loop, const fetch_request& request, std::function<void(const fetch_result&)> done)
 {
-    auto* pending = new pending_fetch{loop, std::move(done), nullptr, nullptr, false, false, {}};
-    pending->cleanup_ = loop.add_cleanup([pending] {
-        const std::unique_ptr<pending_fetch> owned(pending);
-        evhttp_connection_free(owned->connection_);
-    });
-    pending->connection_ = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, nullptr,
-                                                                  request.ip_.c_str(), request.port_);
-    evhttp_connection_set_max_body_size(pending->connection_,
-                                        static_cast<ev_ssize_t>(request.max_body_bytes_));
-    bufferevent* stream = evhttp_connection_get_bufferevent(pending->connection_);
-    evbuffer_add_cb(bufferevent_get_output(stream), on_output_change, pending);
-    pending->deadline_ =
-        std::make_unique<timer>(loop, [pending] { finish(pending, read_result(nullptr, *pending)); });
-    pending->deadline_->start(request.timeout_);
-    evhttp_request* message = evhttp_request_new(
-        [](evhttp_request* answered, void* arg) {
-            auto* owner = static_cast<pending_fetch*>(arg);
-            finish(owner, read_result(answered, *owner));
-        },
-        pending);
-    evkeyvalq* headers = evhttp_request_get_output_headers(message);
-    const std::string host =
-        request.host_.empty() ? request.ip_ + ":" + std::to_string(request.port_) : request.host_;
-    evhttp_add_header(headers, "Host", host.c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    for (const auto& [name, value] : request.headers_) {
-        evhttp_add_header(headers, name.c_str(), value.c_str());
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(message), request.body_.data(), request.body_.size());
-    if (evhttp_make_request(pending->connection_, message, to_evhttp_method(request.method_),
-                            request.target_.c_str()) != 0) {
-        finish(pending, read_result(nullptr, *pending));
-    }
+    auto* pending = new pending_fetch(loop, request, std::move(done));
+    pending->start(request);
 }
 
 bool parse_address(const std::string& text, std::string& ip, std::uint16_t& port)
