An unreadable response of the store is a failed read, not an empty store

A value that is not base64 was read as an empty one, also from Consul.

The node keeps its view and reads again, as after a lost response.

The read from Consul failed for the value that is not base64. Now all pass.

--- a/src/adapters/store/base64.cpp
+++ b/src/adapters/store/base64.cpp
@@ -10,10 +10,11 @@
     return absl::Base64Escape({bytes.data(), bytes.size()});
 }
 
-std::string decode_base64(std::string_view text)
+std::optional<std::string> decode_base64(std::string_view text)
 {
     std::string bytes;
-    return absl::Base64Unescape({text.data(), text.size()}, &bytes) ? bytes : std::string{};
+    return absl::Base64Unescape({text.data(), text.size()}, &bytes) ? std::optional(std::move(bytes))
+                                                                    : std::nullopt;
 }
 
 } // namespace anvilpost
--- a/src/adapters/store/base64.h
+++ b/src/adapters/store/base64.h
@@ -1,6 +1,7 @@
 // Base64 (RFC 4648, section 4), in which Consul's API returns values.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -8,7 +9,7 @@
 
 std::string encode_base64(std::string_view bytes);
 
-/// Returns the decoded bytes, or an empty string when `text` is not valid base64.
-std::string decode_base64(std::string_view text);
+/// Returns the decoded bytes, or nothing when `text` is not valid base64.
+std::optional<std::string> decode_base64(std::string_view text);
 
 } // namespace anvilpost
--- a/src/adapters/store/consul_store.cpp
+++ b/src/adapters/store/consul_store.cpp
@@ -32,8 +32,11 @@
     if (!usable) {
         return {store_status::unavailable, "", 0};
     }
-    return {store_status::ok, decode_base64(document[0]["Value"].get<std::string>()),
-            document[0]["ModifyIndex"].get<std::uint64_t>()};
+    auto value = decode_base64(document[0]["Value"].get<std::string>());
+    if (!value) {
+        return {store_status::unavailable, "", 0};
+    }
+    return {store_status::ok, std::move(*value), document[0]["ModifyIndex"].get<std::uint64_t>()};
 }
 
 } // namespace
--- a/testing/test_deployment/registry_store.cpp
+++ b/testing/test_deployment/registry_store.cpp
@@ -330,7 +330,7 @@
     }
     for (const auto& row : wanted.value("put_items", json::array())) {
         const auto key = row["key"].get<std::string>();
-        put(key, decode_base64(row["value"].get<std::string>()));
+        put(key, decode_base64(row["value"].get<std::string>()).value());
         items_[key].lease_ = row.value("lease", std::uint64_t{0});
     }
     for (const auto& key : wanted.value("delete_keys", json::array())) {
--- /dev/null
+++ b/tests/adapters/consul_store_test.cpp
@@ -0,0 +1,54 @@
+// Tests of what the adapter for Consul reports of responses that are sound, broken off or of another form.
+#include "adapters/loopback_upstream.h"
+#include "adapters/store/consul_store.h"
+
+using namespace anvilpost;
+using namespace anvilpost::testing;
+
+namespace {
+
+struct consul_fixture {
+    void answer(const std::string& text)
+    {
+        REQUIRE(run_loop_until(loop_, [&] { return server_.has_request(); }));
+        server_.discard_input();
+        server_.send(text);
+        run_loop(loop_, std::chrono::milliseconds(2));
+        server_.close_connection();
+    }
+
+    store_status read_answered_with(const std::string& text)
+    {
+        std::optional<store_status> status;
+        store_.read("key", [&](const stored_value& value) { status = value.status_; });
+        answer(text);
+        REQUIRE(run_loop_until(loop_, [&] { return status.has_value(); }));
+        return *status;
+    }
+
+    test_upstream server_;
+    event_loop loop_;
+    consul_store store_{loop_, {"127.0.0.1", server_.port()}};
+};
+
+} // namespace
+
+TEST_CASE("a read is reported as failed when its response is not whole or its value is not base64")
+{
+    consul_fixture fixture;
+    const auto answer = [](const std::string& body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    CHECK(fixture.read_answered_with(answer(R"([{"Value":"dGV4dA==","ModifyIndex":7}])")) ==
+          store_status::ok);
+    CHECK(fixture.read_answered_with(answer(R"([{"Value":"","ModifyIndex":7}])")) == store_status::ok);
+    CHECK(fixture.read_answered_with("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") ==
+          store_status::not_found);
+    for (const auto* body : {R"([{"Value":"dGV4dA==","ModifyIndex":7})",
+                             R"([{"Value":"dGV4d!!=","ModifyIndex":7}])", "", "[]"}) {
+        INFO(body);
+        CHECK(fixture.read_answered_with(answer(body)) == store_status::unavailable);
+    }
+    CHECK(fixture.read_answered_with("HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\n") ==
+          store_status::unavailable);
+}
