A write to Consul is a conflict only when the response says so

What was seen: a 200 to a compare-and-swap whose body broke off ("tr"), was empty or of another form was reported as a conflict, "nothing was written"; "true?" as written. Operators would have been told that their plan was not applied.

Cause: whatever did not begin with "true" counted as "false".

Change: the body must be the JSON value true or false. Otherwise the outcome is unknown, for which claims and plans have their rules.

--- a/src/adapters/store/consul_store.cpp
+++ b/src/adapters/store/consul_store.cpp
@@ -39,6 +39,16 @@
     return {store_status::ok, std::move(*value), document[0]["ModifyIndex"].get<std::uint64_t>()};
 }
 
+/// A write is known to be refused only by a response that says so; otherwise it may have taken effect.
+store_status parse_write(const fetch_result& result)
+{
+    const auto written = nlohmann::json::parse(result.body_, nullptr, false);
+    if (result.status_ == http_ok && written.is_boolean()) {
+        return written.get<bool>() ? store_status::ok : store_status::conflict;
+    }
+    return result.sent_ ? store_status::unknown : store_status::unavailable;
+}
+
 } // namespace
 
 void consul_store::get(const std::string& target, duration timeout, read_callback done)
@@ -76,13 +86,8 @@
     request.target_ = "/v1/kv/" + key + "?cas=" + std::to_string(version);
     request.body_ = text;
     request.timeout_ = write_timeout;
-    fetch(loop_, request, [done = std::move(done)](const fetch_result& result) {
-        if (result.status_ == http_ok) {
-            done(result.body_.starts_with("true") ? store_status::ok : store_status::conflict);
-            return;
-        }
-        done(result.sent_ ? store_status::unknown : store_status::unavailable);
-    });
+    fetch(loop_, request,
+          [done = std::move(done)](const fetch_result& result) { done(parse_write(result)); });
 }
 
 } // namespace anvilpost
--- a/tests/adapters/consul_store_test.cpp
+++ b/tests/adapters/consul_store_test.cpp
@@ -17,6 +17,15 @@
         server_.close_connection();
     }
 
+    store_status write_answered_with(const std::string& text)
+    {
+        std::optional<store_status> status;
+        store_.compare_and_swap("key", "text", 1, [&](store_status result) { status = result; });
+        answer(text);
+        REQUIRE(run_loop_until(loop_, [&] { return status.has_value(); }));
+        return *status;
+    }
+
     store_status read_answered_with(const std::string& text)
     {
         std::optional<store_status> status;
@@ -33,6 +42,25 @@
 
 } // namespace
 
+// A conflict states that nothing was written.
+TEST_CASE("a write is reported as done or as a conflict only when the response says so")
+{
+    consul_fixture fixture;
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    CHECK(fixture.write_answered_with(ok + "Content-Length: 4\r\n\r\ntrue") == store_status::ok);
+    CHECK(fixture.write_answered_with(ok + "Content-Length: 5\r\n\r\ntrue\n") == store_status::ok);
+    CHECK(fixture.write_answered_with(ok + "Content-Length: 5\r\n\r\nfalse") == store_status::conflict);
+    CHECK(fixture.write_answered_with(ok + "Content-Length: 6\r\n\r\nfalse\n") == store_status::conflict);
+    for (const auto* text :
+         {"Content-Length: 0\r\n\r\n", "Connection: close\r\n\r\ntr", "Connection: close\r\n\r\n",
+          "Content-Length: 4\r\n\r\ntr", "Content-Length: 5\r\n\r\ntrue?", "Content-Length: 4\r\n\r\nnull"}) {
+        INFO(text);
+        CHECK(fixture.write_answered_with(ok + text) == store_status::unknown);
+    }
+    CHECK(fixture.write_answered_with("HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\ntrue") ==
+          store_status::unknown);
+}
+
 TEST_CASE("a read is reported as failed when its response is not whole or its value is not base64")
 {
     consul_fixture fixture;
