anvilpostctl reports no success without the node's document

What was seen: a 200 of a node whose body broke off or was empty was printed as null with exit code 0.

Cause: a body that is not JSON became null, which only the status was checked against.

Errors keep their text.

--- a/src/ctl/node_client.cpp
+++ b/src/ctl/node_client.cpp
@@ -3,6 +3,22 @@
 #include "ctl/node_client.h"
 
 namespace anvilpost {
+namespace {
+
+node_response parse_response(const fetch_result& result)
+{
+    constexpr int http_ok = 200;
+    node_response response{result.status_, nlohmann::json::parse(result.body_, nullptr, false), result.body_};
+    if (response.body_.is_discarded()) {
+        response.body_ = nullptr;
+    }
+    if (response.status_ == http_ok && !response.body_.is_object()) {
+        return {}; // A success without its document must not be reported as one.
+    }
+    return response;
+}
+
+} // namespace
 
 node_response node_client::send(const std::string& method, const std::string& path, const std::string& body)
 {
@@ -15,12 +31,7 @@
     request.timeout_ = timeout_;
     node_response response;
     fetch(loop_, request, [&](const fetch_result& result) {
-        response.status_ = result.status_;
-        response.text_ = result.body_;
-        response.body_ = nlohmann::json::parse(result.body_, nullptr, false);
-        if (response.body_.is_discarded()) {
-            response.body_ = nullptr;
-        }
+        response = parse_response(result);
         loop_.stop();
     });
     loop_.run();
--- a/src/ctl/node_client.h
+++ b/src/ctl/node_client.h
@@ -10,7 +10,7 @@
 
 /// A node's response to one request.
 struct node_response {
-    int status_ = 0;      ///< HTTP status; 0 when no complete response arrived in time.
+    int status_ = 0;      ///< HTTP status; 0 when no complete response, or a 200 without a document, arrived.
     nlohmann::json body_; ///< Null when the response is not JSON.
     std::string text_;    ///< The response's body as received.
 };
