Reading of the change: one constant for interim responses, shared steps of the tests

Cause: read as a newcomer, the first final status stood in three files, a failed fetch in five forms, and the tests repeated how a request is answered once and how an upload on a used connection begins. clang-tidy asked for the destructor of pending_fetch.

Change: first_final_status is in message_reader.h; pending_fetch::fail, answer_once and the parameter of start_large_upload take the place of the copies.

--- a/src/adapters/http/health_prober.cpp
+++ b/src/adapters/http/health_prober.cpp
@@ -15,7 +15,6 @@
 constexpr duration probe_timeout = 150ms;
 constexpr std::size_t max_response_head_bytes = 8UL * 1024;
 constexpr int http_ok = 200;
-constexpr int first_final_status = 200;
 
 } // namespace
 
--- a/src/adapters/http/http_fetch.cpp
+++ b/src/adapters/http/http_fetch.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::size_t max_head_bytes = 64UL * 1024;
-constexpr int first_final_status = 200;
 
 /// State of one request; deletes itself after the callback, or is deleted when the loop is destroyed.
 class pending_fetch {
@@ -23,6 +22,7 @@
                   std::function<void(const fetch_result&)> done);
     pending_fetch(const pending_fetch&) = delete;
     pending_fetch& operator=(const pending_fetch&) = delete;
+    ~pending_fetch() = default;
 
     void start(const fetch_request& request);
 
@@ -32,6 +32,7 @@
     [[nodiscard]] bool over_limit() const;
     [[nodiscard]] fetch_result read_result() const;
     void finish(const fetch_result& result);
+    void fail() { finish({0, sent_, {}, {}}); }
 
     event_loop& loop_;
     std::function<void(const fetch_result&)> done_;
@@ -71,11 +72,7 @@
                              std::function<void(const fetch_result&)> done)
     : loop_(loop), done_(std::move(done)), max_body_bytes_(request.max_body_bytes_),
       stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)), reader_(make_reader()),
-      deadline_(loop,
-                [this] {
-                    finish({0, sent_, {}, {}});
-                }),
-      cleanup_(loop.add_cleanup([this] { delete this; }))
+      deadline_(loop, [this] { fail(); }), cleanup_(loop.add_cleanup([this] { delete this; }))
 {
     bufferevent_setcb(
         stream_.get(),
@@ -101,7 +98,7 @@
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
     if (length == 0 ||
         bufferevent_socket_connect(stream_.get(), reinterpret_cast<sockaddr*>(&address), length) != 0) {
-        finish({});
+        fail();
     }
 }
 
@@ -112,7 +109,7 @@
         return;
     }
     if (!connected_) {
-        finish({});
+        fail();
         return;
     }
     const auto from_server = (what & BEV_EVENT_EOF) != 0 ? receive_state::closed : receive_state::reset;
@@ -121,7 +118,7 @@
     }
     read(from_server);
     if (!finished_) {
-        finish({0, sent_, {}, {}}); // The server has closed its side before it has read the request.
+        fail(); // The server has closed its side before it has received the whole request.
     }
 }
 
@@ -131,7 +128,7 @@
         const auto outcome = read_response(*reader_, stream_.get(), from_server);
         const bool failed = outcome == read_status::malformed || outcome == read_status::head_too_large;
         if (failed || over_limit()) {
-            finish({0, sent_, {}, {}});
+            fail();
         }
         else if (outcome == read_status::more) {
             return;
--- a/src/adapters/http/message_reader.h
+++ b/src/adapters/http/message_reader.h
@@ -36,6 +36,9 @@
 
 enum class message_side { request, response };
 
+/// Responses with a lower status are interim ones, which the final response follows (RFC 9110, section 15.2).
+inline constexpr int first_final_status = 200;
+
 /// State of the message after the bytes so far; `more`: incomplete, further bytes are needed.
 enum class read_status { more, complete, malformed, head_too_large };
 
--- a/src/adapters/http/upstream_pool.cpp
+++ b/src/adapters/http/upstream_pool.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr duration sweep_period = std::chrono::milliseconds(500);
-constexpr int first_final_status = 200;
 
 /// Time between two checks whether a response that ended with its connection is whole.
 constexpr duration end_check_period = std::chrono::milliseconds(5);
--- a/tests/adapters/broken_response_test.cpp
+++ b/tests/adapters/broken_response_test.cpp
@@ -105,10 +105,14 @@
 }
 
 /// Starts a large upload that the upstream does not read.
-void start_large_upload(call_path_fixture& fixture, const test_caller& caller)
+void start_large_upload(call_path_fixture& fixture, test_caller& caller, bool on_used_connection = false)
 {
+    if (on_used_connection) {
+        use_connection_once(fixture, caller);
+    }
     caller.send_large(fixture.loop_, upload_of(large_upload_bytes));
     REQUIRE(run_loop_until(fixture.loop_, [&] { return fixture.upstream_.has_request(); }));
+    CHECK(fixture.pool_.counters().connections_reused_ == (on_used_connection ? 1 : 0));
 }
 
 } // namespace
@@ -122,11 +126,7 @@
     const bool on_used_connection = GENERATE(false, true);
     call_path_fixture fixture(close_delimited_allowed(), long_hold());
     test_caller caller(fixture.server_.port());
-    if (on_used_connection) {
-        use_connection_once(fixture, caller);
-    }
-    start_large_upload(fixture, caller);
-    CHECK(fixture.pool_.counters().connections_reused_ == (on_used_connection ? 1 : 0));
+    start_large_upload(fixture, caller, on_used_connection);
     fixture.upstream_.send("HTTP/1.1 200 OK\r\n" + framing + std::string(7000, 'x'));
     run_loop(fixture.loop_, 5ms);
     fixture.upstream_.reset_connection();
@@ -140,10 +140,7 @@
     const bool on_used_connection = GENERATE(false, true);
     call_path_fixture fixture(close_delimited_allowed(), long_hold());
     test_caller caller(fixture.server_.port());
-    if (on_used_connection) {
-        use_connection_once(fixture, caller);
-    }
-    start_large_upload(fixture, caller);
+    start_large_upload(fixture, caller, on_used_connection);
     fixture.upstream_.send("HTTP/1.1 200 OK\r\n" + framing + std::string(7000, 'x'));
     fixture.upstream_.reset_connection();
     check_refused(fixture, caller);
@@ -195,10 +192,7 @@
     const bool read_before_reset = GENERATE(false, true);
     call_path_fixture fixture;
     test_caller caller(fixture.server_.port());
-    if (on_used_connection) {
-        use_connection_once(fixture, caller);
-    }
-    start_large_upload(fixture, caller);
+    start_large_upload(fixture, caller, on_used_connection);
     fixture.upstream_.send("HTTP/1.1 413 Content Too Large\r\n" + framed);
     if (read_before_reset) {
         run_loop(fixture.loop_, 5ms);
--- a/tests/adapters/consul_store_test.cpp
+++ b/tests/adapters/consul_store_test.cpp
@@ -8,20 +8,11 @@
 namespace {
 
 struct consul_fixture {
-    void answer(const std::string& text)
-    {
-        REQUIRE(run_loop_until(loop_, [&] { return server_.has_request(); }));
-        server_.discard_input();
-        server_.send(text);
-        run_loop(loop_, std::chrono::milliseconds(2));
-        server_.close_connection();
-    }
-
     store_status write_answered_with(const std::string& text)
     {
         std::optional<store_status> status;
         store_.compare_and_swap("key", "text", 1, [&](store_status result) { status = result; });
-        answer(text);
+        answer_once(loop_, server_, text);
         REQUIRE(run_loop_until(loop_, [&] { return status.has_value(); }));
         return *status;
     }
@@ -30,7 +21,7 @@
     {
         std::optional<store_status> status;
         store_.read("key", [&](const stored_value& value) { status = value.status_; });
-        answer(text);
+        answer_once(loop_, server_, text);
         REQUIRE(run_loop_until(loop_, [&] { return status.has_value(); }));
         return *status;
     }
--- a/tests/adapters/loopback_upstream.h
+++ b/tests/adapters/loopback_upstream.h
@@ -123,6 +123,17 @@
     }
 }
 
+/// Answers the next request with `text` and closes the connection.
+inline void answer_once(const event_loop& loop, test_upstream& upstream, const std::string& text)
+{
+    REQUIRE(run_loop_until(loop, [&] { return upstream.has_request(); }));
+    upstream.discard_input();
+    upstream.send(text);
+    run_loop(loop, std::chrono::milliseconds(2));
+    upstream.close_connection();
+}
+
+/// Runs a test case with each way of delivery.
 inline delivery each_delivery()
 {
     return GENERATE(delivery::at_once, delivery::byte_by_byte, delivery::short_pause_in_head,
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -15,11 +15,7 @@
         std::optional<items_result> result;
         client_.read_all([&](const items_result& read) { result = read; });
         for (const auto& body : bodies) {
-            REQUIRE(run_loop_until(loop_, [&] { return server_.has_request(); }));
-            server_.discard_input();
-            server_.send(answer(body));
-            run_loop(loop_, std::chrono::milliseconds(2));
-            server_.close_connection();
+            answer_once(loop_, server_, answer(body));
         }
         REQUIRE(run_loop_until(loop_, [&] { return result.has_value(); }));
         return *result;
@@ -29,11 +25,7 @@
     {
         std::optional<items_result> result;
         client_.changes_since(5, std::chrono::seconds(1), [&](const items_result& read) { result = read; });
-        REQUIRE(run_loop_until(loop_, [&] { return server_.has_request(); }));
-        server_.discard_input();
-        server_.send(text);
-        run_loop(loop_, std::chrono::milliseconds(2));
-        server_.close_connection();
+        answer_once(loop_, server_, text);
         REQUIRE(run_loop_until(loop_, [&] { return result.has_value(); }));
         return *result;
     }
